--- /dev/null
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -0,0 +1,1022 @@
+package puffinbarrow;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.zip.CRC32;
+import puffinbarrow.control.Controller;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Event.Listed;
+import puffinbarrow.control.Event.Measure;
+import puffinbarrow.control.Order;
+import puffinbarrow.control.Order.Retry;
+import puffinbarrow.control.Settings;
+import puffinbarrow.control.Settings.Repeat;
+
+/**
+ * All decisions of one coordinator. A host makes one Logic for each coordinator start, from its settings and
+ * seed, and calls handle(now, events) with all that came in at one time; it carries out the orders returned,
+ * in their order. The interface is the package puffinbarrow.control. Each call reads the events, then, when a
+ * tick is due or something urgent came, mends the tables (mend), balances (balance) and sends (push).
+ * What each table should be stands in Slice.want, what was ordered in Slice.sent; push sends the difference.
+ */
+public final class Logic implements Controller {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000_000_000L;
+
+    // ---- A server's standing: the table of transitions, read by step().
+
+    /** ILL, OUT and RETURNING are masked; OUT and RETURNING also lose their lines. */
+    private enum State { WELL, SUSPECT, ILL, TRIAL, OUT, RETURNING }
+
+    private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, EMPTIED, NEEDED }
+
+    private enum Effect { NONE, HOLD, CLEAR, EVICT }
+
+    private record Row(State state, Input input, State next, Effect effect) {}
+
+    private static final List<Row> TABLE = List.of(
+            new Row(State.WELL, Input.BAD, State.SUSPECT, Effect.NONE),
+            new Row(State.WELL, Input.AWFUL, State.ILL, Effect.HOLD),
+            new Row(State.SUSPECT, Input.BAD, State.ILL, Effect.HOLD),
+            new Row(State.SUSPECT, Input.AWFUL, State.ILL, Effect.HOLD),
+            new Row(State.SUSPECT, Input.GOOD, State.WELL, Effect.NONE),
+            new Row(State.ILL, Input.HOLD_OVER, State.TRIAL, Effect.NONE),
+            new Row(State.ILL, Input.NEEDED, State.TRIAL, Effect.NONE),
+            new Row(State.TRIAL, Input.BAD, State.ILL, Effect.HOLD),
+            new Row(State.TRIAL, Input.AWFUL, State.ILL, Effect.HOLD),
+            new Row(State.TRIAL, Input.GOOD, State.WELL, Effect.CLEAR),
+            new Row(State.WELL, Input.LEAVES, State.OUT, Effect.EVICT),
+            new Row(State.SUSPECT, Input.LEAVES, State.OUT, Effect.EVICT),
+            new Row(State.ILL, Input.LEAVES, State.OUT, Effect.EVICT),
+            new Row(State.TRIAL, Input.LEAVES, State.OUT, Effect.EVICT),
+            new Row(State.RETURNING, Input.LEAVES, State.OUT, Effect.EVICT),
+            new Row(State.WELL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.SUSPECT, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.ILL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.TRIAL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.OUT, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.RETURNING, Input.EMPTIED, State.WELL, Effect.CLEAR),
+            new Row(State.RETURNING, Input.NEEDED, State.WELL, Effect.CLEAR));
+
+    private void step(Server server, Input input) {
+        for (Row row : TABLE) {
+            if (row.state == server.state && row.input == input) {
+                server.state = row.next;
+                // The first hold outlasts a short trouble and the sums still on the way; it doubles while
+                // trials fail, up to what a rough half minute of trouble needs.
+                switch (row.effect) {
+                    case HOLD -> {
+                        server.holdNs = Math.min(24 * SECOND, Math.max(6 * SECOND, server.holdNs * 2));
+                        server.holdUntil = now + server.holdNs;
+                    }
+                    case CLEAR -> server.holdNs = 0;
+                    default -> { }
+                }
+                server.forgetRound();
+                dirty = true;
+                log(server.id + " " + row.state + " " + input + " -> " + row.next);
+                return;
+            }
+        }
+    }
+
+    // ---- What is known.
+
+    /** Sums over time in fixed buckets that are used again in a ring. */
+    private static final class Ring {
+        private static final int BUCKETS = 8;
+        private final double[] sum = new double[BUCKETS];
+        private final long[] number = new long[BUCKETS];
+        private final long bucketNs;
+
+        Ring(long bucketNs) {
+            this.bucketNs = bucketNs;
+        }
+
+        void add(long at, double amount) {
+            long bucket = at / bucketNs;
+            int place = (int) Math.floorMod(bucket, (long) BUCKETS);
+            if (number[place] != bucket) {
+                number[place] = bucket;
+                sum[place] = 0;
+            }
+            sum[place] += amount;
+        }
+
+        /** What came in the latest buckets, the one of now among them. */
+        double over(long at, int buckets) {
+            long newest = at / bucketNs;
+            double total = 0;
+            for (int i = 0; i < BUCKETS; i++) {
+                total += number[i] <= newest && number[i] > newest - buckets ? sum[i] : 0;
+            }
+            return total;
+        }
+    }
+
+    private static final class Server {
+        final String id;
+        double size = 1;
+        long started;
+        boolean ready;
+        State state = State.OUT;
+        long holdNs;
+        long holdUntil;
+        /** This round's sums: tries, dropped, and time taken over the delivered ones. */
+        double tries;
+        double dropped;
+        double tookNs;
+        double report = Double.NaN;
+        long reportAt;
+        /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
+        final Ring shift = new Ring(SECOND);
+        /** Own placed load, worked out anew before each decision. */
+        double count;
+        double demand;
+        double spareDemand;
+        double score;
+
+        Server(String id) {
+            this.id = id;
+        }
+
+        boolean masked() {
+            return state == State.ILL || leaving();
+        }
+
+        boolean leaving() {
+            return state == State.OUT || state == State.RETURNING;
+        }
+
+        boolean usable() {
+            return ready && !masked();
+        }
+
+        void forgetRound() {
+            tries = 0;
+            dropped = 0;
+            tookNs = 0;
+        }
+    }
+
+    private static final class Slice {
+        final int number;
+        boolean mine;
+        final TreeMap<String, Double> want = new TreeMap<>();
+        final TreeMap<String, Double> sent = new TreeMap<>();
+        final Ring heard = new Ring(SECOND);
+        double demand;
+        long movedAt = Long.MIN_VALUE / 2;
+        long changedAt;
+
+        Slice(int number) {
+            this.number = number;
+        }
+    }
+
+    /** A message round on its way: which proxies have not said that it is in force, and its lines for each. */
+    private record Turn(int mark, double linesEach, TreeSet<Integer> waiting) {}
+
+    private final Settings set;
+    private final long seed;
+    private long drawn;
+    private long now;
+    private List<Order> out;
+    private final TreeMap<String, Server> servers = new TreeMap<>();
+    private final Slice[] slices;
+    private final TreeSet<Integer> joined = new TreeSet<>();
+    private final TreeSet<String> maskSent = new TreeSet<>();
+    private final ArrayDeque<Turn> turns = new ArrayDeque<>();
+    private final ArrayDeque<Long> turnTimes = new ArrayDeque<>();
+    private boolean started;
+    private boolean dirty;
+    private boolean levelsDue = true;
+    private boolean masksDue;
+    private boolean unmasksDue;
+    private int mark;
+    private long tickAt;
+    private long cycleAt;
+    private long lastTurn = Long.MIN_VALUE / 2;
+    private long roundAt = Long.MIN_VALUE / 2;
+    private int rounds;
+    private boolean newSums;
+    private long followAt = Long.MAX_VALUE;
+    private long followBackoffNs;
+    private long robin;
+
+    public Logic(Settings settings, long seed) {
+        this.set = settings;
+        this.seed = seed;
+        slices = new Slice[Math.max(0, settings.slices())];
+        for (int i = 0; i < slices.length; i++) {
+            slices[i] = new Slice(i);
+        }
+        robin = (long) (chance() * 1000);
+    }
+
+    private double chance() {
+        CRC32 crc = new CRC32();
+        crc.update(ByteBuffer.allocate(16).putLong(seed).putLong(drawn++).array());
+        return crc.getValue() / 4294967296.0;
+    }
+
+    private void log(String text) {
+        out.add(new Order.Log(text));
+    }
+
+    @Override
+    public List<Order> handle(long nowNs, List<Event> events) {
+        now = nowNs;
+        out = new ArrayList<>();
+        if (!started) {
+            started = true;
+            tickAt = now;
+            cycleAt = now;
+            followAt = set.listOnRequest() ? now : Long.MAX_VALUE;
+        }
+        for (Event event : events) {
+            learn(event);
+        }
+        if (newSums) {
+            judge();
+        }
+        follow();
+        if (now >= tickAt || dirty) {
+            decide();
+        }
+        if (now >= tickAt) {
+            // Four looks a second: well under the shortest grace and the way of a message.
+            tickAt = now + 250 * MS;
+            out.add(new Order.WakeAt(tickAt, 0));
+        }
+        return out;
+    }
+
+    // ---- Learning.
+
+    private void learn(Event event) {
+        if (event instanceof Event.ServerList e) {
+            learnList(e);
+        } else if (event instanceof Event.ServerSums e) {
+            learnSums(e);
+        } else if (event instanceof Event.SliceDemand e) {
+            if (e.slice() >= 0 && e.slice() < slices.length) {
+                slices[e.slice()].heard.add(now, e.flows());
+            }
+        } else if (event instanceof Event.SliceCharge e) {
+            learnCharge(e);
+        } else if (event instanceof Event.StoredLine e) {
+            if (e.slice() >= 0 && e.slice() < slices.length && e.weight() > 0) {
+                slices[e.slice()].want.put(e.server(), e.weight());
+                slices[e.slice()].sent.put(e.server(), e.weight());
+                servers.computeIfAbsent(e.server(), Server::new);
+            }
+        } else if (event instanceof Event.ProxyJoined e) {
+            joined.add(e.proxy());
+            // A proxy that was here before may hold masks of a stream or a life of ours that is forgotten:
+            // a stale mask could leave it bare, so all masks are stated again, the lifted ones too.
+            levelsDue = true;
+            masksDue = true;
+            unmasksDue |= !e.fresh();
+            dirty = true;
+        } else if (event instanceof Event.ProxyLeft e) {
+            joined.remove(e.proxy());
+            acknowledged(e.proxy(), -1);
+        } else if (event instanceof Event.InForce e) {
+            acknowledged(e.proxy(), e.mark());
+        }
+    }
+
+    private void learnList(Event.ServerList list) {
+        if (list.kind() == Event.ListKind.BROKEN) {
+            // Back off up to a few seconds, spread by chance, so that a struggling list is not hammered.
+            followBackoffNs = Math.min(4 * SECOND, Math.max(SECOND / 2, followBackoffNs * 2));
+            followAt = now + (long) (followBackoffNs * (0.75 + chance() / 2));
+            return;
+        }
+        if (list.kind() != Event.ListKind.STALE_COPY && set.listOnRequest()) {
+            followBackoffNs = 0;
+            followAt = Long.MAX_VALUE;
+        }
+        TreeSet<String> named = new TreeSet<>();
+        for (Event.Entry entry : list.entries()) {
+            named.add(entry.server());
+            learnEntry(entry);
+        }
+        if (list.kind() != Event.ListKind.PATCH) {
+            for (Server server : servers.values()) {
+                if (!named.contains(server.id)) {
+                    server.ready = false;
+                    step(server, Input.LEAVES);
+                }
+            }
+        }
+        dirty = true;
+    }
+
+    private void learnEntry(Event.Entry entry) {
+        boolean known = servers.containsKey(entry.server());
+        Server server = servers.computeIfAbsent(entry.server(), Server::new);
+        boolean wasReady = server.ready;
+        long formerStart = server.started;
+        server.ready = entry.listed() == Listed.READY;
+        if (!server.ready) {
+            step(server, Input.LEAVES);
+            return;
+        }
+        server.size = entry.size() > 0 ? entry.size() : 1;
+        server.started = entry.startedNs();
+        if (!known) {
+            server.state = State.WELL;
+        } else if (!wasReady || formerStart != server.started) {
+            step(server, Input.RESTARTS);
+        }
+    }
+
+    private void learnSums(Event.ServerSums sums) {
+        // Lines of one round come together; half a period tells rounds apart.
+        if (now - roundAt > set.roundNs() / 2) {
+            roundAt = now;
+            rounds++;
+        }
+        newSums = true;
+        Server server = servers.get(sums.server());
+        if (server == null) {
+            return;
+        }
+        server.tries += sums.tries();
+        server.dropped += sums.dropped();
+        server.tookNs += (double) sums.tookNs() * Math.max(0, sums.tries() - sums.dropped());
+        double report = reported(sums.report(), server.size);
+        if (!Double.isNaN(report)) {
+            // Half old, half new: a single report is noisy and may be of a moment.
+            boolean stale = Double.isNaN(server.report) || now - server.reportAt > 4 * set.roundNs();
+            server.report = stale ? report : (server.report + report) / 2;
+            server.reportAt = now;
+        }
+    }
+
+    private static double reported(Map<Measure, Double> report, double size) {
+        Double busy = report.get(Measure.BUSY);
+        if (busy != null) {
+            return busy;
+        }
+        for (Measure measure : List.of(Measure.HELD, Measure.WAITING, Measure.DELIVERED_PER_S)) {
+            if (report.containsKey(measure)) {
+                return report.get(measure) / size;
+            }
+        }
+        return Double.NaN;
+    }
+
+    private void learnCharge(Event.SliceCharge charge) {
+        if (charge.slice() < 0 || charge.slice() >= slices.length) {
+            return;
+        }
+        Slice slice = slices[charge.slice()];
+        slice.mine = charge.given();
+        slice.want.clear();
+        slice.sent.clear();
+        levelsDue |= charge.given();
+        masksDue |= charge.given();
+        dirty = true;
+    }
+
+    private void acknowledged(int proxy, int upTo) {
+        boolean known = upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo);
+        for (Turn turn : turns) {
+            if (!known) {
+                break;
+            }
+            turn.waiting.remove(proxy);
+            if (turn.mark == upTo) {
+                break;
+            }
+        }
+        turns.removeIf(t -> t.waiting.isEmpty());
+    }
+
+    private void follow() {
+        if (now >= followAt) {
+            out.add(new Order.Follow(true));
+            // Asked again if no answer comes at all.
+            followAt = now + 5 * SECOND;
+        }
+    }
+
+    // ---- Health: judged by failure share and time taken over rounds of sums.
+
+    private void judge() {
+        newSums = false;
+        List<Double> shares = new ArrayList<>();
+        List<Double> times = new ArrayList<>();
+        for (Server server : servers.values()) {
+            if (server.ready && server.tries >= 5) {
+                shares.add(server.dropped / server.tries);
+                if (server.tries > server.dropped) {
+                    times.add(server.tookNs / (server.tries - server.dropped));
+                }
+            }
+        }
+        double usualShare = median(shares);
+        double usualTime = median(times);
+        List<Server> bad = new ArrayList<>();
+        for (Server server : servers.values()) {
+            // Fewer tries than these say nothing; a trial gets few, so fewer must do.
+            if (!server.ready || server.masked() || server.tries < (server.state == State.TRIAL ? 3 : 8)) {
+                continue;
+            }
+            double share = server.dropped / server.tries;
+            double delivered = server.tries - server.dropped;
+            double slowness = delivered < 3 || usualTime <= 0 ? 1 : server.tookNs / delivered / usualTime;
+            // Bad lines lie well above what an overloaded but sound server shows; good lines well below.
+            if (share > 0.3 + usualShare || slowness > 3) {
+                bad.add(server);
+            } else if (share < 0.1 + usualShare && slowness < 2 && server.tries >= 6) {
+                step(server, Input.GOOD);
+                server.forgetRound();
+            } else if (server.state != State.TRIAL) {
+                server.forgetRound();
+            }
+        }
+        // Guards against a bad view: where most look ill it is the view, the load or ourselves, and masking
+        // would push the rest over. Not more than a third may be masked as ill at a time.
+        long ready = servers.values().stream().filter(s -> s.ready).count();
+        long ill = servers.values().stream().filter(s -> s.ready && s.state == State.ILL).count();
+        boolean doubt = bad.size() + ill > ready * 0.4;
+        for (Server server : bad) {
+            boolean awful = server.dropped / server.tries > 0.6;
+            if (!doubt && ill < ready / 3) {
+                step(server, awful ? Input.AWFUL : Input.BAD);
+                ill += server.state == State.ILL ? 1 : 0;
+            }
+            server.forgetRound();
+        }
+    }
+
+    private static double median(List<Double> values) {
+        values.sort(Comparator.naturalOrder());
+        return values.isEmpty() ? 0 : values.get(values.size() / 2);
+    }
+
+    // ---- Scores.
+
+    private double fleetDemand;
+    private double fleetSize;
+    private double ownPart;
+
+    /** The share of full capacity a server is sure to have: it rises no slower than evenly over the warm time. */
+    private double warmth(Server server) {
+        long age = now - server.started;
+        if (server.started == 0 || age >= set.warmNs()) {
+            return 1;
+        }
+        return set.coldShare() + (1 - set.coldShare()) * Math.max(0, age) / set.warmNs();
+    }
+
+    private double room(Server server) {
+        return server.size * warmth(server);
+    }
+
+    /** A line of a slice at less than this part of its heaviest is a spare. */
+    private static boolean full(Slice slice, double weight) {
+        double most = 0;
+        for (double each : slice.want.values()) {
+            most = Math.max(most, each);
+        }
+        return weight > most / 2;
+    }
+
+    private void weigh() {
+        fleetDemand = 0;
+        fleetSize = 0;
+        int mine = 0;
+        int loud = 0;
+        for (Slice slice : slices) {
+            // Six seconds of sums: long enough for noise, short enough for demand that moves on.
+            slice.demand = slice.mine ? slice.heard.over(now, 6) : 0;
+            fleetDemand += slice.demand;
+            mine += slice.mine ? 1 : 0;
+            loud += slice.demand > 0 ? 1 : 0;
+        }
+        ownPart = slices.length == 0 ? 1 : (double) mine / slices.length;
+        double usual = loud == 0 ? 1 : fleetDemand / loud;
+        if (loud == 0) {
+            fleetDemand = mine;
+        }
+        double reports = 0;
+        int reporting = 0;
+        for (Server server : servers.values()) {
+            server.count = 0;
+            server.demand = 0;
+            server.spareDemand = 0;
+            if (now - server.reportAt > 4 * set.roundNs()) {
+                server.report = Double.NaN;
+            }
+            if (server.usable()) {
+                fleetSize += room(server);
+                if (!Double.isNaN(server.report)) {
+                    reports += server.report;
+                    reporting++;
+                }
+            }
+        }
+        for (Slice slice : slices) {
+            if (slice.mine) {
+                slice.demand = loud == 0 ? usual : Math.max(slice.demand, usual / 20);
+                place(slice);
+            }
+        }
+        double usualReport = reporting == 0 ? 1 : Math.max(1e-9, reports / reporting);
+        for (Server server : servers.values()) {
+            double report = Double.isNaN(server.report) ? 1 : server.report / usualReport;
+            server.score = SLICE_PART * (COUNT_PART * server.count / room(server) * fleetSize / Math.max(1, mine)
+                    + DEMAND_PART * relative(server, server.demand))
+                    + REPORT_PART * Math.max(0, report + server.shift.over(now, 4));
+        }
+    }
+
+    // The design's weights: slices against report, and within slices count against demand.
+    private static final double SLICE_PART = 0.3;
+    private static final double REPORT_PART = 0.7;
+    private static final double COUNT_PART = 0.2;
+    private static final double DEMAND_PART = 0.3;
+
+    /** Demand on a server against the fleet's mean, both for the capacity there is. */
+    private double relative(Server server, double demand) {
+        return fleetDemand <= 0 ? 0 : demand / room(server) * fleetSize / fleetDemand;
+    }
+
+    /** Counts a slice's load on the servers that carry it under the masks that stand. */
+    private void place(Slice slice) {
+        double sum = 0;
+        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+            sum += servers.get(line.getKey()).masked() ? 0 : line.getValue();
+        }
+        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+            Server server = servers.get(line.getKey());
+            if (!server.masked()) {
+                double part = line.getValue() / sum;
+                server.count += part;
+                server.demand += part * slice.demand;
+                server.spareDemand += full(slice, line.getValue()) ? 0 : slice.demand;
+            }
+        }
+    }
+
+    /** What a slice adds to a server's score: its slice load, and what the next reports will show of it. */
+    private double sliceLoad(Slice slice, Server server) {
+        double demand = relative(server, slice.demand);
+        return SLICE_PART * (COUNT_PART / room(server) * fleetSize / Math.max(1, ownPart * slices.length)
+                + DEMAND_PART * demand) + REPORT_PART * ownPart * demand;
+    }
+
+    private void moved(Slice slice, Server from, Server to) {
+        slice.movedAt = now;
+        // The view of placed load is updated at once; reports will take some seconds to show it.
+        if (to != null) {
+            double demand = relative(to, slice.demand);
+            to.shift.add(now, ownPart * demand);
+            to.score += sliceLoad(slice, to);
+            to.count++;
+            to.demand += slice.demand;
+        }
+        if (from != null) {
+            from.shift.add(now, -ownPart * relative(from, slice.demand));
+            from.score -= sliceLoad(slice, from);
+            from.count--;
+            from.demand -= slice.demand;
+        }
+    }
+
+    /** Own demand a server may be given: its fair part of what there is, and as little as it is cold. */
+    private boolean fits(Server server, Slice slice) {
+        return warmth(server) >= 1 || relative(server, server.demand + slice.demand) <= 1;
+    }
+
+    /** The least-loaded server that the slice has no line on, in turn among those within 10% of the least. */
+    private Server leastLoaded(Slice slice, String source, boolean spare) {
+        List<Server> fit = new ArrayList<>();
+        for (int pass = 0; pass < 3 && fit.isEmpty(); pass++) {
+            for (Server server : servers.values()) {
+                if (server.usable() && !slice.want.containsKey(server.id) && !server.id.equals(source)
+                        && (pass > 1 || server.state == State.WELL)
+                        && (pass > 0 || (spare ? warmth(server) >= 1 : fits(server, slice)))) {
+                    fit.add(server);
+                }
+            }
+        }
+        if (fit.isEmpty()) {
+            return null;
+        }
+        // A spare is chosen as if a third of what it stands by for had come, so that spares spread.
+        double least = Double.MAX_VALUE;
+        for (Server server : fit) {
+            least = Math.min(least, rank(server, spare));
+        }
+        double bound = least * 1.1;
+        fit.removeIf(s -> rank(s, spare) > bound);
+        return fit.get((int) Math.floorMod(robin++, (long) fit.size()));
+    }
+
+    private double rank(Server server, boolean spare) {
+        return server.score + (spare ? 0.3 * relative(server, server.spareDemand) : 0);
+    }
+
+    // ---- Mending: every slice keeps a full line and a line to fall back on.
+
+    /** A spare's part: enough to keep a connection and some keys warm, too little to cost anything. */
+    private static final double SPARE = 0.03;
+
+    private void mendAll() {
+        boolean anyUsable = servers.values().stream().anyMatch(Server::usable);
+        if (!anyUsable) {
+            // Nothing left to pick: what is listed ready must serve, ill or cold.
+            for (Server server : servers.values()) {
+                if (server.ready) {
+                    step(server, Input.NEEDED);
+                }
+            }
+        }
+        for (Slice slice : slices) {
+            if (slice.mine) {
+                mend(slice);
+            }
+        }
+    }
+
+    private void mend(Slice slice) {
+        String source = null;
+        TreeMap<String, Double> before = new TreeMap<>(slice.want);
+        boolean bareSoon = slice.want.keySet().stream().allMatch(id -> servers.get(id).leaving());
+        if (bareSoon && servers.values().stream().noneMatch(Server::usable)) {
+            return;
+        }
+        for (Map.Entry<String, Double> line : before.entrySet()) {
+            if (servers.get(line.getKey()).leaving()) {
+                source = full(slice, line.getValue()) ? line.getKey() : source;
+                slice.want.remove(line.getKey());
+            }
+        }
+        boolean carried = false;
+        Server spare = null;
+        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+            Server server = servers.get(line.getKey());
+            if (!server.masked()) {
+                carried |= line.getValue() >= 0.5;
+                spare = spare == null || server.score < spare.score ? server : spare;
+            }
+        }
+        if (!carried) {
+            // Orphan. The spare was the least-loaded server when it was chosen and has carried the slice
+            // since the mask; it keeps it unless it is now above the mean.
+            boolean keep = spare != null && spare.score <= meanScore() + sliceLoad(slice, spare);
+            Server target = keep ? spare : leastLoaded(slice, source, false);
+            target = target == null ? spare : target;
+            if (target != null) {
+                for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+                    line.setValue(SPARE);
+                }
+                slice.want.put(target.id, 1.0);
+                moved(slice, null, target);
+            }
+        }
+        if (!set.soleOwner()) {
+            mendSpares(slice);
+        }
+        if (!before.equals(slice.want)) {
+            slice.changedAt = now;
+        }
+    }
+
+    private void mendSpares(Slice slice) {
+        int usable = 0;
+        Server worst = null;
+        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+            Server server = servers.get(line.getKey());
+            usable += server.masked() ? 0 : 1;
+            if (line.getValue() < 0.5 && server.state == State.WELL
+                    && (worst == null || server.score > worst.score)) {
+                worst = server;
+            }
+        }
+        if (usable < 2) {
+            Server spare = leastLoaded(slice, null, true);
+            if (spare != null) {
+                slice.want.put(spare.id, SPARE);
+                spare.spareDemand += slice.demand;
+            }
+        } else if (usable > 2 && worst != null) {
+            slice.want.remove(worst.id);
+        }
+    }
+
+    private double meanScore() {
+        double sum = 0;
+        int n = 0;
+        for (Server server : servers.values()) {
+            if (server.usable()) {
+                sum += server.score;
+                n++;
+            }
+        }
+        return n == 0 ? 0 : sum / n;
+    }
+
+    // ---- Balancing, once a cycle.
+
+    private static final long CYCLE = 5 * SECOND;
+    private final ArrayDeque<Long> moveTimes = new ArrayDeque<>();
+
+    private void balance() {
+        if (now < cycleAt) {
+            return;
+        }
+        cycleAt = now + CYCLE;
+        // After a start: what stands is left alone until three rounds of sums have come.
+        if (rounds < 3) {
+            return;
+        }
+        List<Server> usable = new ArrayList<>();
+        for (Server server : servers.values()) {
+            if (server.usable()) {
+                usable.add(server);
+            }
+        }
+        if (usable.size() < 2) {
+            return;
+        }
+        for (Server server : usable) {
+            if (server.state == State.WELL && relative(server, server.demand) < 0.5) {
+                gain(server, usable);
+            }
+        }
+        even(usable);
+    }
+
+    /** A fresh server, or one back from illness, gains a slice a cycle from the most loaded. */
+    private void gain(Server target, List<Server> usable) {
+        Server source = usable.stream().max(Comparator.comparingDouble(s -> s.score)).orElseThrow();
+        Slice best = null;
+        for (Slice slice : movable(source)) {
+            if (fits(target, slice) && helps(slice, source, target)
+                    && (best == null || slice.demand > best.demand)) {
+                best = slice;
+            }
+        }
+        if (best != null) {
+            shift(best, source, target);
+        }
+    }
+
+    private void even(List<Server> usable) {
+        double mean = meanScore();
+        double spread = 0;
+        for (Server server : usable) {
+            spread += (server.score - mean) * (server.score - mean);
+        }
+        double deviation = Math.sqrt(spread / usable.size());
+        while (!moveTimes.isEmpty() && now - moveTimes.peekFirst() > 60 * SECOND) {
+            moveTimes.pollFirst();
+        }
+        if (deviation <= 0.3 * mean || moveTimes.size() >= 6) {
+            return;
+        }
+        Slice lightest = null;
+        Server from = null;
+        for (Server source : usable) {
+            if (source.score > mean + deviation) {
+                for (Slice slice : movable(source)) {
+                    if (lightest == null || slice.demand < lightest.demand) {
+                        lightest = slice;
+                        from = source;
+                    }
+                }
+            }
+        }
+        if (lightest != null) {
+            Server target = leastLoaded(lightest, from.id, false);
+            if (target != null && helps(lightest, from, target)) {
+                shift(lightest, from, target);
+                moveTimes.addLast(now);
+            }
+        }
+    }
+
+    private boolean helps(Slice slice, Server source, Server target) {
+        return source != target
+                && target.score + sliceLoad(slice, target) < source.score - sliceLoad(slice, source);
+    }
+
+    private List<Slice> movable(Server source) {
+        List<Slice> movable = new ArrayList<>();
+        for (Slice slice : slices) {
+            if (slice.mine && slice.want.getOrDefault(source.id, 0.0) >= 0.5 && now - slice.movedAt > 20 * SECOND) {
+                movable.add(slice);
+            }
+        }
+        return movable;
+    }
+
+    private void shift(Slice slice, Server from, Server to) {
+        slice.want.remove(from.id);
+        slice.want.put(to.id, 1.0);
+        slice.changedAt = now;
+        moved(slice, from, to);
+        log("move " + slice.number + " " + from.id + " -> " + to.id);
+    }
+
+    // ---- Deciding and sending.
+
+    private void decide() {
+        dirty = false;
+        for (Server server : servers.values()) {
+            if (server.state == State.ILL && now >= server.holdUntil) {
+                step(server, Input.HOLD_OVER);
+            } else if (server.state == State.RETURNING && server.ready && noLineOn(server.id)) {
+                step(server, Input.EMPTIED);
+            }
+        }
+        weigh();
+        mendAll();
+        balance();
+        push();
+    }
+
+    private boolean noLineOn(String id) {
+        for (Slice slice : slices) {
+            if (slice.mine && slice.sent.containsKey(id)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean differs(Slice slice) {
+        return slice.mine && !slice.want.equals(slice.sent);
+    }
+
+    private boolean rescue(Slice slice) {
+        for (String id : slice.sent.keySet()) {
+            if (servers.get(id).masked()) {
+                return true;
+            }
+        }
+        return slice.sent.isEmpty();
+    }
+
+    private void push() {
+        List<Slice> due = new ArrayList<>();
+        for (Slice slice : slices) {
+            if (differs(slice)) {
+                due.add(slice);
+            }
+        }
+        TreeSet<String> masks = new TreeSet<>();
+        for (Server server : servers.values()) {
+            if (server.masked() && !noLineOn(server.id)) {
+                masks.add(server.id);
+            }
+        }
+        TreeSet<String> lifted = new TreeSet<>(maskSent);
+        lifted.removeIf(id -> servers.get(id).masked());
+        boolean newMask = !maskSent.containsAll(masks);
+        boolean urgent = newMask || due.stream().anyMatch(this::rescue) || masksDue && !masks.isEmpty();
+        if (joined.isEmpty() || !urgent && due.isEmpty() && lifted.isEmpty() && !levelsDue && !unmasksDue) {
+            return;
+        }
+        if (!mayTurn(urgent)) {
+            dirty |= urgent;
+            return;
+        }
+        double each = joined.size();
+        double waiting = 0;
+        for (Turn turn : turns) {
+            waiting += turn.linesEach * turn.waiting.size();
+        }
+        // Half the queue for the ordinary; what the rules demand may go further.
+        double lines = (set.queueLimit() * (urgent ? 0.8 : 0.45) - waiting) / each - set.head() - 1 - levelLines;
+        if (lines < 1) {
+            dirty |= urgent;
+            return;
+        }
+        send(due, masks, lifted, lines);
+    }
+
+    private boolean mayTurn(boolean urgent) {
+        long gap = urgent ? 100 * MS : 500 * MS;
+        if (now - lastTurn < gap) {
+            return false;
+        }
+        if (set.messagesAllowed() > 0) {
+            while (!turnTimes.isEmpty() && now - turnTimes.peekFirst() > set.messagesSpanNs()) {
+                turnTimes.pollFirst();
+            }
+            // A third of the messages is kept for drains and orphans, one for the unforeseen.
+            return turnTimes.size() < (urgent ? set.messagesAllowed() - 1 : set.messagesAllowed() * 2 / 3);
+        }
+        return true;
+    }
+
+    private int levelLines;
+
+    private void send(List<Slice> due, TreeSet<String> masks, TreeSet<String> lifted, double lines) {
+        double used = 0;
+        int before = out.size();
+        if (levelsDue) {
+            levelsDue = false;
+            levelLines = setLevels();
+        }
+        due.sort(Comparator.comparing((Slice s) -> !rescue(s)).thenComparing(s -> s.changedAt)
+                .thenComparing(s -> s.number));
+        for (Slice slice : due) {
+            if (used >= lines) {
+                break;
+            }
+            used += sendSlice(slice);
+        }
+        // A mask goes only after every slice has another line to pick.
+        for (String id : masks) {
+            if ((masksDue || !maskSent.contains(id)) && !leavesBare(id)) {
+                out.add(new Order.Mask(id, true));
+                maskSent.add(id);
+            }
+        }
+        for (String id : unmasksDue ? new TreeSet<>(servers.keySet()) : lifted) {
+            if (!servers.get(id).masked()) {
+                out.add(new Order.Mask(id, false));
+            }
+        }
+        maskSent.removeAll(lifted);
+        maskSent.retainAll(servers.keySet());
+        masksDue = false;
+        unmasksDue = false;
+        if (out.size() > before) {
+            mark = (mark + 1) % 65536;
+            out.add(new Order.Mark(mark, false));
+            turns.addLast(new Turn(mark, set.head() + out.size() - before + levelLines, new TreeSet<>(joined)));
+            turnTimes.addLast(now);
+            lastTurn = now;
+        }
+    }
+
+    private int sendSlice(Slice slice) {
+        int lines = 0;
+        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
+            if (!line.getValue().equals(slice.sent.get(line.getKey()))) {
+                out.add(new Order.SetLine(slice.number, line.getKey(), line.getValue()));
+                lines++;
+            }
+        }
+        for (String id : slice.sent.keySet()) {
+            if (!slice.want.containsKey(id)) {
+                out.add(new Order.SetLine(slice.number, id, 0));
+                lines++;
+            }
+        }
+        slice.sent.clear();
+        slice.sent.putAll(slice.want);
+        return lines;
+    }
+
+    private boolean leavesBare(String id) {
+        for (Slice slice : slices) {
+            if (slice.mine && slice.sent.containsKey(id)
+                    && slice.sent.keySet().stream().allMatch(s -> s.equals(id) || maskSent.contains(s))) {
+                return servers.values().stream().anyMatch(Server::usable);
+            }
+        }
+        return false;
+    }
+
+    /** States the way of trying again for every traffic group, by what a repeat could do. */
+    private int setLevels() {
+        int orders = 0;
+        for (Retry retry : List.of(Retry.ON_PROOF, Retry.ONCE)) {
+            int groups = 0;
+            for (int i = 0; i < set.groups().size(); i++) {
+                groups |= retryOf(set.groups().get(i)) == retry ? 1 << i : 0;
+            }
+            if (groups != 0) {
+                out.add(new Order.SetLevel(Order.ALL_TABLES, groups, set.levelIsRate() ? 1e6 : 1, retry));
+                orders++;
+            }
+        }
+        return orders;
+    }
+
+    private static Retry retryOf(Settings.Group group) {
+        boolean harmless = group.repeat() == Repeat.RETRIABLE
+                || group.repeat() == Repeat.DEDUPED && group.dedupedEverywhere()
+                && group.dedupeNs() >= group.expiryNs();
+        return harmless ? Retry.ONCE : Retry.ON_PROOF;
+    }
+}
--- /dev/null
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -0,0 +1,90 @@
+package puffinbarrow.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import puffinbarrow.control.Settings;
+
+/** Turns the wire's settings into ours; keys that are not known here are passed over. */
+final class Facts {
+    private Facts() {}
+
+    static Settings settings(Object facts) {
+        Map<?, ?> all = map(facts, "Facts");
+        Map<?, ?> domain = map(all.get("Domain"), "Domain");
+        Map<?, ?> ceilings = map(all.get("Ceilings"), "Ceilings");
+        Map<?, ?> rules = map(all.get("Rules"), "Rules");
+        List<Settings.Group> groups = new ArrayList<>();
+        for (Object each : list(all.get("RequestClasses"), "RequestClasses")) {
+            groups.add(group(map(each, "RequestClasses")));
+        }
+        String throttle = String.valueOf(domain.get("ThrottleBy"));
+        return new Settings((int) whole(all, "Me"), (int) whole(all, "Instances"),
+                "ask".equals(all.get("Discovery")), flag(ceilings, "Probes"),
+                throttle.equals("per_second"), !throttle.equals("off"), groups,
+                (int) whole(domain, "Ranges"), flag(domain, "SoleOwner"), (int) whole(domain, "ProxyCount"),
+                real(domain, "EgressPerS"), real(domain, "Backlog"), real(domain, "Overhead"),
+                (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"),
+                whole(domain, "BlackholeNs"), whole(domain, "ReportEveryNs"),
+                whole(domain, "PushDelayMaxNs"), whole(rules, "StopSendingWithinNs"),
+                whole(rules, "WarmWithinNs"), real(rules, "StartCapacity"), real(rules, "FallMultiple"),
+                whole(rules, "AskWithinNs"));
+    }
+
+    private static Settings.Group group(Map<?, ?> each) {
+        String semantics = String.valueOf(each.get("Semantics"));
+        Settings.Repeat repeat = switch (semantics) {
+            case "repeatable" -> Settings.Repeat.RETRIABLE;
+            case "by_key" -> Settings.Repeat.DEDUPED;
+            case "once" -> Settings.Repeat.NON_RETRIABLE;
+            default -> throw new MalformedBatch("Semantics: unknown value " + semantics);
+        };
+        return new Settings.Group(repeat, "all".equals(each.get("DedupScope")),
+                whole(each, "WindowNs"), whole(each, "HardLimitNs"),
+                real(each, "Importance"), whole(each, "AimNs"));
+    }
+
+    private static double real(Map<?, ?> from, String key) {
+        Object value = from.get(key);
+        if (value == null) {
+            return 0;
+        }
+        if (value instanceof Number number) {
+            return number.doubleValue();
+        }
+        throw new MalformedBatch(key + ": wanted a number, found " + value);
+    }
+
+    private static long whole(Map<?, ?> from, String key) {
+        Object value = from.get(key);
+        return value instanceof Number number ? number.longValue() : (long) real(from, key);
+    }
+
+    private static boolean flag(Map<?, ?> from, String key) {
+        Object value = from.get(key);
+        if (value == null || value instanceof Boolean) {
+            return Boolean.TRUE.equals(value);
+        }
+        throw new MalformedBatch(key + ": wanted true or false, found " + value);
+    }
+
+    private static Map<?, ?> map(Object value, String what) {
+        if (value == null) {
+            return Map.of();
+        }
+        if (value instanceof Map<?, ?> map) {
+            return map;
+        }
+        throw new MalformedBatch(what + ": wanted an object");
+    }
+
+    private static List<?> list(Object value, String what) {
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List<?> list) {
+            return list;
+        }
+        throw new MalformedBatch(what + ": wanted an array");
+    }
+}
