--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -3,9 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -38,7 +36,7 @@
 
     private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, EMPTIED, NEEDED }
 
-    private enum Effect { NONE, HOLD, CLEAR, EVICT }
+    private enum Effect { NONE, HOLD, CLEAR }
 
     private record Row(State state, Input input, State next, Effect effect) {}
 
@@ -53,16 +51,16 @@
             new Row(State.TRIAL, Input.BAD, State.ILL, Effect.HOLD),
             new Row(State.TRIAL, Input.AWFUL, State.ILL, Effect.HOLD),
             new Row(State.TRIAL, Input.GOOD, State.WELL, Effect.CLEAR),
-            new Row(State.WELL, Input.LEAVES, State.OUT, Effect.EVICT),
-            new Row(State.SUSPECT, Input.LEAVES, State.OUT, Effect.EVICT),
-            new Row(State.ILL, Input.LEAVES, State.OUT, Effect.EVICT),
-            new Row(State.TRIAL, Input.LEAVES, State.OUT, Effect.EVICT),
-            new Row(State.RETURNING, Input.LEAVES, State.OUT, Effect.EVICT),
-            new Row(State.WELL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
-            new Row(State.SUSPECT, Input.RESTARTS, State.RETURNING, Effect.EVICT),
-            new Row(State.ILL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
-            new Row(State.TRIAL, Input.RESTARTS, State.RETURNING, Effect.EVICT),
-            new Row(State.OUT, Input.RESTARTS, State.RETURNING, Effect.EVICT),
+            new Row(State.WELL, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(State.SUSPECT, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(State.ILL, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(State.TRIAL, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(State.RETURNING, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(State.WELL, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(State.SUSPECT, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(State.ILL, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(State.TRIAL, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(State.OUT, Input.RESTARTS, State.RETURNING, Effect.NONE),
             new Row(State.RETURNING, Input.EMPTIED, State.WELL, Effect.CLEAR),
             new Row(State.RETURNING, Input.NEEDED, State.WELL, Effect.CLEAR));
 
@@ -733,7 +731,7 @@
 
     // ---- Balancing, once a cycle.
 
-    private static final long CYCLE = 5 * SECOND;
+    private static final long CYCLE = 2 * SECOND;
     private final ArrayDeque<Long> moveTimes = new ArrayDeque<>();
 
     private void balance() {
@@ -787,7 +785,7 @@
         while (!moveTimes.isEmpty() && now - moveTimes.peekFirst() > 60 * SECOND) {
             moveTimes.pollFirst();
         }
-        if (deviation <= 0.3 * mean || moveTimes.size() >= 6) {
+        if (deviation <= 0.3 * mean || moveTimes.size() >= 30) {
             return;
         }
         Slice lightest = null;
