--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -436,8 +436,15 @@
             double delivered = server.tries - server.dropped;
             double slowness = delivered < 3 || usualTime <= 0 ? 1 : server.tookNs / delivered / usualTime;
             // Bad lines lie well above what an overloaded but sound server shows; good lines well below.
+            // Guards against taking load for illness: more than its part of own slices explains slow and late
+            // answers, and a mask would only hand the load to the next one.
+            boolean explained = relative(server, server.demand) > 1.4;
             if (share > 0.3 + usualShare || slowness > 3) {
-                bad.add(server);
+                if (!explained) {
+                    bad.add(server);
+                } else {
+                    server.forgetRound();
+                }
             } else if (share < 0.1 + usualShare && slowness < 2 && server.tries >= 6) {
                 step(server, Input.GOOD);
                 server.forgetRound();
@@ -731,7 +738,7 @@
 
     // ---- Balancing, once a cycle.
 
-    private static final long CYCLE = 2 * SECOND;
+    private static final long CYCLE = 5 * SECOND;
     private final ArrayDeque<Long> moveTimes = new ArrayDeque<>();
 
     private void balance() {
@@ -785,7 +792,7 @@
         while (!moveTimes.isEmpty() && now - moveTimes.peekFirst() > 60 * SECOND) {
             moveTimes.pollFirst();
         }
-        if (deviation <= 0.3 * mean || moveTimes.size() >= 30) {
+        if (deviation <= 0.3 * mean || moveTimes.size() >= 6) {
             return;
         }
         Slice lightest = null;
