Strain: while the middle server drops flows nothing is tried again and cheap groups are let in less

It should also catch lost capacity of any kind; harms if most drop for a cause that less traffic can't help.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -452,6 +452,7 @@
                 server.forgetRound();
             }
         }
+        strain(usualShare);
         // Guards against a bad view: where most look ill it is the view, the load or ourselves, and masking
         // would push the rest over. Not more than a third may be masked as ill at a time.
         long ready = servers.values().stream().filter(s -> s.ready).count();
@@ -467,6 +468,47 @@
         }
     }
 
+    // ---- Strain: the whole fleet drops flows, so there is more than it can do.
+
+    private boolean strained;
+    private double shed;
+
+    /**
+     * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic, too
+     * few servers, cold caches): while the middle server drops flows, nothing is tried again and the groups
+     * of least utility for their work are let in less, step by step. It would harm if drops had a cause
+     * that less traffic can't help, so the view must hold for the middle server, not for a few.
+     */
+    private void strain(double usualShare) {
+        boolean was = strained;
+        // One in ten is far above errors in good times; one in thirty is about what they show.
+        strained = usualShare > (strained ? 0.03 : 0.1);
+        double before = shed;
+        int spare = set.groups().size() - 1;
+        shed = Math.max(0, Math.min(0.8 * spare, shed + (usualShare > 0.1 ? 0.15 : usualShare < 0.03 ? -0.08 : 0)));
+        if (was != strained || shed != before) {
+            levelsDue = true;
+            log("strained " + strained + " shed " + shed);
+        }
+    }
+
+    /** The part of a group let in: those of least utility for their latency budget (the work's stand-in) first. */
+    private double level(int group) {
+        if (set.levelIsRate()) {
+            return 1e6;
+        }
+        int before = 0;
+        for (int i = 0; i < set.groups().size(); i++) {
+            before += value(i) < value(group) || value(i) == value(group) && i < group ? 1 : 0;
+        }
+        boolean most = before == set.groups().size() - 1;
+        return !set.levelsHeeded() || most ? 1 : Math.max(0.2, Math.min(1, 1 - (shed - 0.8 * before)));
+    }
+
+    private double value(int group) {
+        return set.groups().get(group).utility() / Math.max(1, set.groups().get(group).budgetNs());
+    }
+
     private static double median(List<Double> values) {
         values.sort(Comparator.naturalOrder());
         return values.isEmpty() ? 0 : values.get(values.size() / 2);
@@ -1004,18 +1046,16 @@
 
     /** States the way of trying again for every traffic group, by what a repeat could do. */
     private int setLevels() {
-        int orders = 0;
-        for (Retry retry : List.of(Retry.ON_PROOF, Retry.ONCE)) {
-            int groups = 0;
-            for (int i = 0; i < set.groups().size(); i++) {
-                groups |= retryOf(set.groups().get(i)) == retry ? 1 << i : 0;
-            }
-            if (groups != 0) {
-                out.add(new Order.SetLevel(Order.ALL_TABLES, groups, set.levelIsRate() ? 1e6 : 1, retry));
-                orders++;
-            }
-        }
-        return orders;
+        TreeMap<String, Order.SetLevel> levels = new TreeMap<>();
+        for (int i = 0; i < set.groups().size(); i++) {
+            Retry retry = strained ? Retry.NEVER : retryOf(set.groups().get(i));
+            double level = level(i);
+            Order.SetLevel same = levels.get(retry + " " + level);
+            int groups = (same == null ? 0 : same.groups()) | 1 << i;
+            levels.put(retry + " " + level, new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
+        }
+        out.addAll(levels.values());
+        return levels.size();
     }
 
     private static Retry retryOf(Settings.Group group) {
