--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -3,9 +3,12 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.zip.CRC32;
@@ -38,35 +41,28 @@
 
     private enum Effect { NONE, HOLD, CLEAR }
 
-    private record Row(State state, Input input, State next, Effect effect) {}
+    private record Row(Set<State> states, Input input, State next, Effect effect) {}
 
+    private static final Set<State> ANY = EnumSet.allOf(State.class);
     private static final List<Row> TABLE = List.of(
-            new Row(State.WELL, Input.BAD, State.SUSPECT, Effect.NONE),
-            new Row(State.WELL, Input.AWFUL, State.ILL, Effect.HOLD),
-            new Row(State.SUSPECT, Input.BAD, State.ILL, Effect.HOLD),
-            new Row(State.SUSPECT, Input.AWFUL, State.ILL, Effect.HOLD),
-            new Row(State.SUSPECT, Input.GOOD, State.WELL, Effect.NONE),
-            new Row(State.ILL, Input.HOLD_OVER, State.TRIAL, Effect.NONE),
-            new Row(State.ILL, Input.NEEDED, State.TRIAL, Effect.NONE),
-            new Row(State.TRIAL, Input.BAD, State.ILL, Effect.HOLD),
-            new Row(State.TRIAL, Input.AWFUL, State.ILL, Effect.HOLD),
-            new Row(State.TRIAL, Input.GOOD, State.WELL, Effect.CLEAR),
-            new Row(State.WELL, Input.LEAVES, State.OUT, Effect.NONE),
-            new Row(State.SUSPECT, Input.LEAVES, State.OUT, Effect.NONE),
-            new Row(State.ILL, Input.LEAVES, State.OUT, Effect.NONE),
-            new Row(State.TRIAL, Input.LEAVES, State.OUT, Effect.NONE),
-            new Row(State.RETURNING, Input.LEAVES, State.OUT, Effect.NONE),
-            new Row(State.WELL, Input.RESTARTS, State.RETURNING, Effect.NONE),
-            new Row(State.SUSPECT, Input.RESTARTS, State.RETURNING, Effect.NONE),
-            new Row(State.ILL, Input.RESTARTS, State.RETURNING, Effect.NONE),
-            new Row(State.TRIAL, Input.RESTARTS, State.RETURNING, Effect.NONE),
-            new Row(State.OUT, Input.RESTARTS, State.RETURNING, Effect.NONE),
-            new Row(State.RETURNING, Input.EMPTIED, State.WELL, Effect.CLEAR),
-            new Row(State.RETURNING, Input.NEEDED, State.WELL, Effect.CLEAR));
+            new Row(EnumSet.of(State.WELL), Input.BAD, State.SUSPECT, Effect.NONE),
+            new Row(EnumSet.of(State.SUSPECT, State.TRIAL), Input.BAD, State.ILL, Effect.HOLD),
+            new Row(EnumSet.of(State.WELL, State.SUSPECT, State.TRIAL), Input.AWFUL, State.ILL, Effect.HOLD),
+            new Row(EnumSet.of(State.SUSPECT), Input.GOOD, State.WELL, Effect.NONE),
+            new Row(EnumSet.of(State.TRIAL), Input.GOOD, State.WELL, Effect.CLEAR),
+            new Row(EnumSet.of(State.ILL), Input.HOLD_OVER, State.TRIAL, Effect.NONE),
+            new Row(EnumSet.of(State.ILL), Input.NEEDED, State.TRIAL, Effect.NONE),
+            new Row(ANY, Input.LEAVES, State.OUT, Effect.NONE),
+            new Row(ANY, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(EnumSet.of(State.RETURNING), Input.EMPTIED, State.WELL, Effect.CLEAR),
+            new Row(EnumSet.of(State.RETURNING), Input.NEEDED, State.WELL, Effect.CLEAR));
 
     private void step(Server server, Input input) {
         for (Row row : TABLE) {
-            if (row.state == server.state && row.input == input) {
+            if (row.states.contains(server.state) && row.input == input) {
+                if (server.state != row.next) {
+                    log(server.id + " " + server.state + " " + input + " -> " + row.next);
+                }
                 server.state = row.next;
                 // The first hold outlasts a short trouble and the sums still on the way; it doubles while
                 // trials fail, up to what a rough half minute of trouble needs.
@@ -80,7 +76,6 @@
                 }
                 server.forgetRound();
                 dirty = true;
-                log(server.id + " " + row.state + " " + input + " -> " + row.next);
                 return;
             }
         }
@@ -180,7 +175,7 @@
         }
     }
 
-    /** A message round on its way: which proxies have not said that it is in force, and its lines for each. */
+    /** A round of messages on its way: the proxies that have not said it is in force, and its lines each. */
     private record Turn(int mark, double linesEach, TreeSet<Integer> waiting) {}
 
     private final Settings set;
@@ -388,12 +383,10 @@
         dirty = true;
     }
 
+    /** A proxy has all up to this mark; one that left (-1) is waited for no more. */
     private void acknowledged(int proxy, int upTo) {
         boolean known = upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo);
-        for (Turn turn : turns) {
-            if (!known) {
-                break;
-            }
+        for (Turn turn : known ? turns : new ArrayDeque<Turn>()) {
             turn.waiting.remove(proxy);
             if (turn.mark == upTo) {
                 break;
@@ -440,10 +433,10 @@
             // answers, and a mask would only hand the load to the next one.
             boolean explained = relative(server, server.demand) > 1.4;
             if (share > 0.3 + usualShare || slowness > 3) {
-                if (!explained) {
-                    bad.add(server);
-                } else {
+                if (explained) {
                     server.forgetRound();
+                } else {
+                    bad.add(server);
                 }
             } else if (share < 0.1 + usualShare && slowness < 2 && server.tries >= 6) {
                 step(server, Input.GOOD);
@@ -460,7 +453,7 @@
         boolean doubt = bad.size() + ill > ready * 0.4;
         for (Server server : bad) {
             boolean awful = server.dropped / server.tries > 0.6;
-            if (!doubt && ill < ready / 3) {
+            if (warmth(server) < 1 || !doubt && ill < ready / 3) {
                 step(server, awful ? Input.AWFUL : Input.BAD);
                 ill += server.state == State.ILL ? 1 : 0;
             }
@@ -474,8 +467,8 @@
     private double shed;
 
     /**
-     * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic, too
-     * few servers, cold caches): while the middle server drops flows, nothing is tried again and the groups
+     * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
+     * too few servers, cold caches): while the middle server drops flows, nothing is tried again and groups
      * of least utility for their work are let in less, step by step. It would harm if drops had a cause
      * that less traffic can't help, so the view must hold for the middle server, not for a few.
      */
@@ -485,14 +478,15 @@
         strained = usualShare > (strained ? 0.03 : 0.1);
         double before = shed;
         int spare = set.groups().size() - 1;
-        shed = Math.max(0, Math.min(0.8 * spare, shed + (usualShare > 0.1 ? 0.15 : usualShare < 0.03 ? -0.08 : 0)));
+        double by = usualShare > 0.1 ? 0.15 : usualShare < 0.03 ? -0.08 : 0;
+        shed = Math.max(0, Math.min(0.8 * spare, shed + by));
         if (was != strained || shed != before) {
             levelsDue = true;
             log("strained " + strained + " shed " + shed);
         }
     }
 
-    /** The part of a group let in: those of least utility for their latency budget (the work's stand-in) first. */
+    /** The part of a group let in: least utility for its latency budget (which stands for work) first. */
     private double level(int group) {
         if (set.levelIsRate()) {
             return 1e6;
@@ -520,7 +514,7 @@
     private double fleetSize;
     private double ownPart;
 
-    /** The share of full capacity a server is sure to have: it rises no slower than evenly over the warm time. */
+    /** The share of full capacity a server is sure to have: it rises evenly over the warm time or faster. */
     private double warmth(Server server) {
         long age = now - server.started;
         if (server.started == 0 || age >= set.warmNs()) {
@@ -535,11 +529,7 @@
 
     /** A line of a slice at less than this part of its heaviest is a spare. */
     private static boolean full(Slice slice, double weight) {
-        double most = 0;
-        for (double each : slice.want.values()) {
-            most = Math.max(most, each);
-        }
-        return weight > most / 2;
+        return weight > slice.want.values().stream().max(Double::compare).orElse(0.0) / 2;
     }
 
     private void weigh() {
@@ -559,34 +549,25 @@
         if (loud == 0) {
             fleetDemand = mine;
         }
-        double reports = 0;
-        int reporting = 0;
         for (Server server : servers.values()) {
             server.count = 0;
             server.demand = 0;
             server.spareDemand = 0;
-            if (now - server.reportAt > 4 * set.roundNs()) {
-                server.report = Double.NaN;
-            }
-            if (server.usable()) {
-                fleetSize += room(server);
-                if (!Double.isNaN(server.report)) {
-                    reports += server.report;
-                    reporting++;
-                }
-            }
+            server.report = now - server.reportAt > 4 * set.roundNs() ? Double.NaN : server.report;
+            fleetSize += server.usable() ? room(server) : 0;
         }
+        double usualReport = Math.max(1e-9, servers.values().stream().filter(Server::usable)
+                .mapToDouble(v -> v.report).filter(v -> !Double.isNaN(v)).average().orElse(1));
         for (Slice slice : slices) {
             if (slice.mine) {
                 slice.demand = loud == 0 ? usual : Math.max(slice.demand, usual / 20);
                 place(slice);
             }
         }
-        double usualReport = reporting == 0 ? 1 : Math.max(1e-9, reports / reporting);
         for (Server server : servers.values()) {
             double report = Double.isNaN(server.report) ? 1 : server.report / usualReport;
-            server.score = SLICE_PART * (COUNT_PART * server.count / room(server) * fleetSize / Math.max(1, mine)
-                    + DEMAND_PART * relative(server, server.demand))
+            double count = server.count / room(server) * fleetSize / Math.max(1, mine);
+            server.score = SLICE_PART * (COUNT_PART * count + DEMAND_PART * relative(server, server.demand))
                     + REPORT_PART * Math.max(0, report + server.shift.over(now, 4));
         }
     }
@@ -646,30 +627,45 @@
 
     /** Own demand a server may be given: its fair part of what there is, and as little as it is cold. */
     private boolean fits(Server server, Slice slice) {
-        return warmth(server) >= 1 || relative(server, server.demand + slice.demand) <= 1;
+        return warmth(server) >= 1 || relative(server, server.demand + slice.demand) <= coldPart();
+    }
+
+    /** Under strain servers are sent up to some six times what they can do; a cold one must not be. */
+    private double coldPart() {
+        return strained ? set.fallMultiple() / 6 : 1;
+    }
+
+    /** Guards cold servers: one that carries more than its part, however that came, loses slices at once. */
+    private void easeCold() {
+        for (Server server : servers.values()) {
+            for (Slice slice : slices) {
+                // A quarter over the part that fits keeps a slice from going back and forth.
+                if (server.usable() && warmth(server) < 1
+                        && relative(server, server.demand) > 1.25 * coldPart()
+                        && slice.mine && slice.want.getOrDefault(server.id, 0.0) >= 0.5) {
+                    Server target = leastLoaded(slice, server.id, false);
+                    if (target != null && warmth(target) >= 1) {
+                        shift(slice, server, target);
+                    }
+                }
+            }
+        }
     }
 
     /** The least-loaded server that the slice has no line on, in turn among those within 10% of the least. */
     private Server leastLoaded(Slice slice, String source, boolean spare) {
         List<Server> fit = new ArrayList<>();
         for (int pass = 0; pass < 3 && fit.isEmpty(); pass++) {
-            for (Server server : servers.values()) {
-                if (server.usable() && !slice.want.containsKey(server.id) && !server.id.equals(source)
-                        && (pass > 1 || server.state == State.WELL)
-                        && (pass > 0 || (spare ? warmth(server) >= 1 : fits(server, slice)))) {
-                    fit.add(server);
-                }
-            }
+            int at = pass;
+            servers.values().stream().filter(v -> v.usable() && !slice.want.containsKey(v.id)
+                    && !v.id.equals(source) && (at > 1 || v.state == State.WELL)
+                    && (at > 0 || (spare ? warmth(v) >= 1 : fits(v, slice)))).forEach(fit::add);
         }
         if (fit.isEmpty()) {
             return null;
         }
         // A spare is chosen as if a third of what it stands by for had come, so that spares spread.
-        double least = Double.MAX_VALUE;
-        for (Server server : fit) {
-            least = Math.min(least, rank(server, spare));
-        }
-        double bound = least * 1.1;
+        double bound = 1.1 * fit.stream().mapToDouble(v -> rank(v, spare)).min().orElse(0);
         fit.removeIf(s -> rank(s, spare) > bound);
         return fit.get((int) Math.floorMod(robin++, (long) fit.size()));
     }
@@ -684,20 +680,11 @@
     private static final double SPARE = 0.03;
 
     private void mendAll() {
-        boolean anyUsable = servers.values().stream().anyMatch(Server::usable);
-        if (!anyUsable) {
+        if (servers.values().stream().noneMatch(Server::usable)) {
             // Nothing left to pick: what is listed ready must serve, ill or cold.
-            for (Server server : servers.values()) {
-                if (server.ready) {
-                    step(server, Input.NEEDED);
-                }
-            }
-        }
-        for (Slice slice : slices) {
-            if (slice.mine) {
-                mend(slice);
-            }
+            servers.values().stream().filter(v -> v.ready).forEach(v -> step(v, Input.NEEDED));
         }
+        Arrays.stream(slices).filter(v -> v.mine).forEach(this::mend);
     }
 
     private void mend(Slice slice) {
@@ -767,15 +754,7 @@
     }
 
     private double meanScore() {
-        double sum = 0;
-        int n = 0;
-        for (Server server : servers.values()) {
-            if (server.usable()) {
-                sum += server.score;
-                n++;
-            }
-        }
-        return n == 0 ? 0 : sum / n;
+        return servers.values().stream().filter(Server::usable).mapToDouble(v -> v.score).average().orElse(0);
     }
 
     // ---- Balancing, once a cycle.
@@ -792,12 +771,7 @@
         if (rounds < 3) {
             return;
         }
-        List<Server> usable = new ArrayList<>();
-        for (Server server : servers.values()) {
-            if (server.usable()) {
-                usable.add(server);
-            }
-        }
+        List<Server> usable = servers.values().stream().filter(Server::usable).toList();
         if (usable.size() < 2) {
             return;
         }
@@ -826,11 +800,8 @@
 
     private void even(List<Server> usable) {
         double mean = meanScore();
-        double spread = 0;
-        for (Server server : usable) {
-            spread += (server.score - mean) * (server.score - mean);
-        }
-        double deviation = Math.sqrt(spread / usable.size());
+        double deviation = Math.sqrt(usable.stream().mapToDouble(v -> (v.score - mean) * (v.score - mean))
+                .average().orElse(0));
         while (!moveTimes.isEmpty() && now - moveTimes.peekFirst() > 60 * SECOND) {
             moveTimes.pollFirst();
         }
@@ -864,13 +835,8 @@
     }
 
     private List<Slice> movable(Server source) {
-        List<Slice> movable = new ArrayList<>();
-        for (Slice slice : slices) {
-            if (slice.mine && slice.want.getOrDefault(source.id, 0.0) >= 0.5 && now - slice.movedAt > 20 * SECOND) {
-                movable.add(slice);
-            }
-        }
-        return movable;
+        return Arrays.stream(slices).filter(v -> v.mine && v.want.getOrDefault(source.id, 0.0) >= 0.5
+                && now - v.movedAt > 20 * SECOND).toList();
     }
 
     private void shift(Slice slice, Server from, Server to) {
@@ -894,39 +860,23 @@
         }
         weigh();
         mendAll();
+        easeCold();
         balance();
         push();
     }
 
     private boolean noLineOn(String id) {
-        for (Slice slice : slices) {
-            if (slice.mine && slice.sent.containsKey(id)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private static boolean differs(Slice slice) {
-        return slice.mine && !slice.want.equals(slice.sent);
+        return Arrays.stream(slices).noneMatch(v -> v.mine && v.sent.containsKey(id));
     }
 
     private boolean rescue(Slice slice) {
-        for (String id : slice.sent.keySet()) {
-            if (servers.get(id).masked()) {
-                return true;
-            }
-        }
-        return slice.sent.isEmpty();
+        return slice.sent.isEmpty() || slice.sent.keySet().stream().anyMatch(id -> servers.get(id).masked());
     }
 
     private void push() {
-        List<Slice> due = new ArrayList<>();
-        for (Slice slice : slices) {
-            if (differs(slice)) {
-                due.add(slice);
-            }
-        }
+        List<Slice> due = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent))
+                .sorted(Comparator.comparing((Slice v) -> !rescue(v)).thenComparing(v -> v.changedAt)
+                        .thenComparing(v -> v.number)).toList();
         TreeSet<String> masks = new TreeSet<>();
         for (Server server : servers.values()) {
             if (server.masked() && !noLineOn(server.id)) {
@@ -949,8 +899,9 @@
         for (Turn turn : turns) {
             waiting += turn.linesEach * turn.waiting.size();
         }
-        // Half the queue for the ordinary; what the rules demand may go further.
-        double lines = (set.queueLimit() * (urgent ? 0.8 : 0.45) - waiting) / each - set.head() - 1 - levelLines;
+        // Under half the queue for the ordinary; what the rules demand may go a little further.
+        double lines = (set.queueLimit() * (urgent ? 0.6 : 0.45) - waiting) / each - set.head()
+                - 1 - levelLines;
         if (lines < 1) {
             dirty |= urgent;
             return;
@@ -982,8 +933,6 @@
             levelsDue = false;
             levelLines = setLevels();
         }
-        due.sort(Comparator.comparing((Slice s) -> !rescue(s)).thenComparing(s -> s.changedAt)
-                .thenComparing(s -> s.number));
         for (Slice slice : due) {
             if (used >= lines) {
                 break;
@@ -1009,7 +958,8 @@
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
-            turns.addLast(new Turn(mark, set.head() + out.size() - before + levelLines, new TreeSet<>(joined)));
+            double each = set.head() + out.size() - before + levelLines;
+            turns.addLast(new Turn(mark, each, new TreeSet<>(joined)));
             turnTimes.addLast(now);
             lastTurn = now;
         }
@@ -1035,13 +985,9 @@
     }
 
     private boolean leavesBare(String id) {
-        for (Slice slice : slices) {
-            if (slice.mine && slice.sent.containsKey(id)
-                    && slice.sent.keySet().stream().allMatch(s -> s.equals(id) || maskSent.contains(s))) {
-                return servers.values().stream().anyMatch(Server::usable);
-            }
-        }
-        return false;
+        return servers.values().stream().anyMatch(Server::usable)
+                && Arrays.stream(slices).anyMatch(v -> v.mine && v.sent.containsKey(id)
+                        && v.sent.keySet().stream().allMatch(s -> s.equals(id) || maskSent.contains(s)));
     }
 
     /** States the way of trying again for every traffic group, by what a repeat could do. */
