--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -644,7 +644,9 @@
                         && relative(server, server.demand) > 1.25 * coldPart()
                         && slice.mine && slice.want.getOrDefault(server.id, 0.0) >= 0.5) {
                     Server target = leastLoaded(slice, server.id, false);
-                    if (target != null && warmth(target) >= 1) {
+                    // Not all on the one warm server left: twice its part is the most it is given.
+                    if (target != null && warmth(target) >= 1
+                            && relative(target, target.demand + slice.demand) < 2) {
                         shift(slice, server, target);
                     }
                 }
@@ -665,7 +667,8 @@
             return null;
         }
         // A spare is chosen as if a third of what it stands by for had come, so that spares spread.
-        double bound = 1.1 * fit.stream().mapToDouble(v -> rank(v, spare)).min().orElse(0);
+        double least = fit.stream().mapToDouble(v -> rank(v, spare)).min().orElse(0);
+        double bound = least + 0.1 * Math.abs(least);
         fit.removeIf(s -> rank(s, spare) > bound);
         return fit.get((int) Math.floorMod(robin++, (long) fit.size()));
     }
--- /dev/null
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -0,0 +1,138 @@
+package puffinbarrow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Event.Listed;
+import puffinbarrow.control.Order;
+import puffinbarrow.control.Settings;
+import puffinbarrow.control.Settings.Group;
+import puffinbarrow.control.Settings.Repeat;
+
+/** A tiny host: it keeps a clock, the store's tables and the masks, and applies orders as they come. */
+final class FakeHost {
+    static final long SECOND = 1_000_000_000L;
+
+    static final List<Group> GROUPS = List.of(
+            new Group(Repeat.RETRIABLE, true, 5 * SECOND, 5 * SECOND, 1, SECOND),
+            new Group(Repeat.NON_RETRIABLE, true, 5 * SECOND, 5 * SECOND, 2, SECOND),
+            new Group(Repeat.DEDUPED, false, 5 * SECOND, 3 * SECOND, 3, SECOND));
+
+    long now = 100 * SECOND;
+    final Logic logic;
+    final TreeMap<Integer, TreeMap<String, Double>> tables = new TreeMap<>();
+    final TreeSet<String> masks = new TreeSet<>();
+    final List<Order> seen = new ArrayList<>();
+    final List<List<Order>> turns = new ArrayList<>();
+    private final List<Event> pending = new ArrayList<>();
+    private boolean acknowledge = true;
+
+    FakeHost(Settings settings) {
+        logic = new Logic(settings, 7);
+    }
+
+    static Settings settings(int slices, boolean listOnRequest, int messages) {
+        return new Settings(0, 1, listOnRequest, false, false, true, GROUPS, slices, false, 2, 1000, 4000, 10,
+                messages, 10 * SECOND, 6 * SECOND, SECOND, SECOND / 2, 3 * SECOND, 16 * SECOND, 0.2, 3,
+                10 * SECOND);
+    }
+
+    /** Servers s0.. listed, slices spread over them in turn, two proxies. */
+    static FakeHost of(int servers, int slices) {
+        FakeHost host = new FakeHost(settings(slices, false, 0));
+        host.begin(servers, slices);
+        return host;
+    }
+
+    void begin(int servers, int slices) {
+        List<Event.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            entries.add(entry("s" + i, Listed.READY, 0));
+        }
+        tell(new Event.ServerList(Event.ListKind.STALE_COPY, entries));
+        for (int i = 0; i < slices; i++) {
+            give(i, "s" + i % servers);
+        }
+        tell(new Event.ProxyJoined(0, true, 1, 0), new Event.ProxyJoined(1, true, 1, 0));
+        run(1);
+    }
+
+    void give(int slice, String server) {
+        tables.put(slice, new TreeMap<>(Map.of(server, 1.0)));
+        tell(new Event.SliceCharge(slice, true), new Event.StoredLine(slice, server, 1));
+    }
+
+    static Event.Entry entry(String server, Listed listed, long startedNs) {
+        return new Event.Entry(server, 0, 0, 0, listed, 1, startedNs);
+    }
+
+    void list(String server, Listed listed, long startedNs) {
+        tell(new Event.ServerList(Event.ListKind.PATCH, List.of(entry(server, listed, startedNs))));
+    }
+
+    void tell(Event... events) {
+        pending.addAll(List.of(events));
+    }
+
+    void deaf() {
+        acknowledge = false;
+    }
+
+    /** A round of sums from one server. */
+    void sums(String server, int tries, int dropped, double busy) {
+        tell(new Event.ServerSums(server, 0, SECOND, SECOND / 5, dropped, tries,
+                busy < 0 ? Map.of() : Map.of(Event.Measure.BUSY, busy)));
+    }
+
+    void demand(int slice, int flows) {
+        tell(new Event.SliceDemand(slice, 0, flows, 0, SECOND));
+    }
+
+    /** Hands over what is pending, then lets a quarter of a second go by at a time. */
+    void run(double seconds) {
+        for (long until = now + (long) (seconds * SECOND); now < until; now += SECOND / 4) {
+            List<Event> events = new ArrayList<>(pending);
+            events.add(new Event.Timer(0));
+            pending.clear();
+            List<Order> orders = logic.handle(now, events);
+            seen.addAll(orders);
+            apply(orders);
+        }
+    }
+
+    private void apply(List<Order> orders) {
+        List<Order> turn = new ArrayList<>();
+        for (Order order : orders) {
+            if (order instanceof Order.SetLine o) {
+                turn.add(o);
+                if (o.weight() > 0) {
+                    tables.computeIfAbsent(o.table(), t -> new TreeMap<>()).put(o.server(), o.weight());
+                } else {
+                    tables.get(o.table()).remove(o.server());
+                }
+            } else if (order instanceof Order.Mask o) {
+                turn.add(o);
+                boolean changed = o.out() ? masks.add(o.server()) : masks.remove(o.server());
+            } else if (order instanceof Order.Mark o) {
+                turns.add(turn);
+                for (int proxy = 0; acknowledge && proxy < 2; proxy++) {
+                    tell(new Event.InForce(proxy, o.number(), SECOND / 5));
+                }
+            }
+        }
+    }
+
+    /** The servers a slice's flows can reach, the heaviest line first. */
+    List<String> open(int slice) {
+        TreeMap<String, Double> lines = tables.get(slice);
+        return lines.keySet().stream().filter(s -> !masks.contains(s))
+                .sorted((a, b) -> Double.compare(lines.get(b), lines.get(a))).toList();
+    }
+
+    <T extends Order> List<T> all(Class<T> kind) {
+        return seen.stream().filter(kind::isInstance).map(kind::cast).toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -0,0 +1,267 @@
+package puffinbarrow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static puffinbarrow.FakeHost.SECOND;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Event.Listed;
+import puffinbarrow.control.Order;
+
+/** Stories of a coordinator: what it hears, and what its proxies then hold. */
+class LogicTest {
+    private static void rounds(FakeHost host, int servers, int count) {
+        for (int round = 0; round < count; round++) {
+            for (int i = 0; i < servers; i++) {
+                host.sums("s" + i, 20, 0, 0.5);
+            }
+            for (int slice : host.tables.keySet()) {
+                host.demand(slice, 10);
+            }
+            host.run(1);
+        }
+    }
+
+    @Test
+    void everySliceGetsALineToFallBackOn() {
+        FakeHost host = FakeHost.of(4, 8);
+        for (int slice = 0; slice < 8; slice++) {
+            assertEquals(2, host.open(slice).size());
+            assertEquals("s" + slice % 4, host.open(slice).get(0), "the standing line stays the full one");
+        }
+    }
+
+    @Test
+    void aDrainingServerIsMaskedAtOnceAndLosesItsSlices() {
+        FakeHost host = FakeHost.of(4, 8);
+        host.list("s1", Listed.DRAINING, 0);
+        host.run(0.25);
+        assertTrue(host.masks.contains("s1"), "the mask goes out in the turn of the news");
+        host.run(2);
+        host.tables.values().forEach(table -> assertFalse(table.containsKey("s1")));
+    }
+
+    @Test
+    void aServerThatLeavesTheListIsOrphanedToOthersButNeverBare() {
+        FakeHost host = FakeHost.of(3, 6);
+        host.tell(new Event.ServerList(Event.ListKind.WHOLE, List.of(
+                FakeHost.entry("s1", Listed.READY, 0), FakeHost.entry("s2", Listed.READY, 0))));
+        host.run(2);
+        for (int slice = 0; slice < 6; slice++) {
+            assertEquals(2, host.open(slice).size());
+            assertFalse(host.tables.get(slice).containsKey("s0"));
+        }
+    }
+
+    @Test
+    void orphansOfOneServerSpreadOverTheRest() {
+        FakeHost host = FakeHost.of(4, 12);
+        rounds(host, 4, 4);
+        host.list("s0", Listed.GONE, 0);
+        host.run(2);
+        long heirs = List.of(0, 4, 8).stream().map(s -> host.open(s).get(0)).distinct().count();
+        assertTrue(heirs >= 2);
+    }
+
+    @Test
+    void aServerBackUnderItsOwnIdIsEmptiedThenFilledSliceBySlice() {
+        FakeHost host = FakeHost.of(4, 16);
+        rounds(host, 4, 4);
+        host.list("s0", Listed.READY, host.now);
+        host.run(0.25);
+        assertTrue(host.masks.contains("s0"), "cut before it is pushed over");
+        host.run(2);
+        assertFalse(host.masks.contains("s0"));
+        host.tables.values().forEach(table -> assertFalse(table.containsKey("s0")));
+        rounds(host, 4, 6);
+        long back = host.tables.values().stream().filter(t -> t.getOrDefault("s0", 0.0) > 0.5).count();
+        assertTrue(back >= 1 && back <= 2, "a slice a cycle, but " + back);
+    }
+
+    @Test
+    void aServerThatDropsFlowsIsMaskedAfterSeveralRoundsAndTriedAgain() {
+        FakeHost host = FakeHost.of(6, 12);
+        rounds(host, 6, 4);
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 6; i++) {
+                host.sums("s" + i, 20, i == 2 ? 10 : 0, i == 2 ? 0.1 : 0.5);
+            }
+            assertFalse(host.masks.contains("s2"));
+            host.run(1);
+        }
+        assertTrue(host.masks.contains("s2"));
+        assertNotEquals("s2", host.open(2).get(0));
+        host.run(7);
+        assertFalse(host.masks.contains("s2"), "a trial after the hold");
+        assertNotEquals("s2", host.open(2).get(0), "the trial is of a spare's part");
+    }
+
+    @Test
+    void whereMostLookIllTheViewIsDoubtedAndNobodyMasked() {
+        FakeHost host = FakeHost.of(6, 12);
+        rounds(host, 6, 4);
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < 6; i++) {
+                host.sums("s" + i, 20, i < 3 ? 18 : 0, 0.5);
+            }
+            host.run(1);
+        }
+        assertTrue(host.masks.isEmpty());
+    }
+
+    @Test
+    void moreThanItsPartExplainsDropsAndIsNoIllness() {
+        FakeHost host = FakeHost.of(6, 12);
+        rounds(host, 6, 4);
+        for (int round = 0; round < 3; round++) {
+            for (int slice = 0; slice < 12; slice++) {
+                host.demand(slice, slice % 6 == 2 ? 40 : 10);
+            }
+            for (int i = 0; i < 6; i++) {
+                host.sums("s" + i, 20, i == 2 && round > 0 ? 10 : 0, 0.5);
+            }
+            host.run(1);
+        }
+        assertFalse(host.masks.contains("s2"));
+    }
+
+    @Test
+    void underStrainNothingIsTriedAgainAndTheCheapestGroupIsShed() {
+        FakeHost host = FakeHost.of(4, 8);
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 4; i++) {
+                host.sums("s" + i, 20, 6, 1);
+            }
+            host.run(1);
+        }
+        List<Order.SetLevel> levels = host.all(Order.SetLevel.class);
+        Order.SetLevel last = levels.stream().filter(o -> (o.groups() & 1) != 0).reduce((a, b) -> b).orElseThrow();
+        assertEquals(Order.Retry.NEVER, last.retry());
+        assertTrue(last.level() < 1);
+        assertTrue(levels.stream().filter(o -> (o.groups() & 4) != 0).allMatch(o -> o.level() == 1));
+        rounds(host, 4, 12);
+        levels = host.all(Order.SetLevel.class);
+        last = levels.stream().filter(o -> (o.groups() & 1) != 0).reduce((a, b) -> b).orElseThrow();
+        assertEquals(Order.Retry.ONCE, last.retry());
+        assertEquals(1, last.level());
+    }
+
+    @Test
+    void repeatsAreOrderedOnlyWhereTheyDoNoHarm() {
+        FakeHost host = FakeHost.of(4, 8);
+        for (Order.SetLevel level : host.all(Order.SetLevel.class)) {
+            assertEquals(level.groups() == 1 ? Order.Retry.ONCE : Order.Retry.ON_PROOF, level.retry());
+        }
+    }
+
+    @Test
+    void theListIsFollowedAgainWithBackOffWhenBroken() {
+        FakeHost host = new FakeHost(FakeHost.settings(4, true, 0));
+        host.begin(2, 4);
+        assertEquals(1, host.all(Order.Follow.class).size());
+        for (int i = 0; i < 4; i++) {
+            host.tell(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
+            host.run(5);
+        }
+        assertEquals(5, host.all(Order.Follow.class).size());
+        host.tell(new Event.ServerList(Event.ListKind.PATCH, List.of()));
+        host.run(10);
+        assertEquals(5, host.all(Order.Follow.class).size());
+    }
+
+    @Test
+    void aProxyThatComesBackIsToldWhatIsMaskedAndWhatIsNot() {
+        FakeHost host = FakeHost.of(4, 8);
+        host.seen.clear();
+        host.tell(new Event.ProxyLeft(0));
+        host.run(1);
+        host.tell(new Event.ProxyJoined(0, false, 1, 0));
+        host.run(1);
+        assertEquals(4, host.all(Order.Mask.class).stream().filter(o -> !o.out()).count());
+        assertFalse(host.all(Order.SetLevel.class).isEmpty());
+    }
+
+    @Test
+    void nothingIsOrderedForASliceThatWasTakenAway() {
+        FakeHost host = FakeHost.of(4, 8);
+        host.tell(new Event.SliceCharge(3, false));
+        host.run(1);
+        host.seen.clear();
+        host.list("s3", Listed.GONE, 0);
+        host.run(3);
+        assertTrue(host.all(Order.SetLine.class).stream().noneMatch(o -> o.table() == 3));
+    }
+
+    @Test
+    void theQueueStaysUnderItsLimitThoughNobodyAnswers() {
+        FakeHost host = FakeHost.of(6, 600);
+        host.deaf();
+        int before = host.turns.stream().mapToInt(List::size).sum();
+        host.list("s0", Listed.GONE, 0);
+        host.list("s1", Listed.GONE, 0);
+        host.run(20);
+        int lines = host.turns.stream().mapToInt(List::size).sum() - before;
+        assertTrue(2 * lines < 4000, "lines unanswered " + 2 * lines);
+        assertTrue(host.masks.contains("s0") && host.masks.contains("s1"));
+    }
+
+    @Test
+    void messagesKeepWithinTheirCount() {
+        FakeHost host = new FakeHost(FakeHost.settings(40, false, 12));
+        host.begin(10, 40);
+        for (int i = 0; i < 40; i++) {
+            host.list("s" + i % 5, i / 5 % 2 == 0 ? Listed.GONE : Listed.READY, 0);
+            host.run(0.25);
+        }
+        assertTrue(host.turns.size() <= 12, "turns " + host.turns.size());
+    }
+
+    @Test
+    void strangersAndLateNewsHarmNothing() {
+        FakeHost host = FakeHost.of(4, 8);
+        host.tell(new Event.ProxyLeft(99), new Event.InForce(98, 77, 1), new Event.SliceDemand(900, 0, 1, 0, 1),
+                new Event.SliceCharge(-1, true), new Event.Timer(5), new Event.PeerMessage(3, "?"));
+        host.sums("nobody", 5, 5, 1);
+        host.run(2);
+        assertEquals(2, host.open(0).size());
+    }
+
+    @Test
+    void theSameEventsGiveTheSameOrders() {
+        List<List<Order>> runs = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            FakeHost host = FakeHost.of(5, 20);
+            rounds(host, 5, 6);
+            host.list("s4", Listed.GONE, 0);
+            host.run(8);
+            runs.add(host.seen);
+        }
+        assertEquals(runs.get(0), runs.get(1));
+    }
+
+    @Test
+    void anUnevenFleetIsEvenedByOneLightSliceACycle() {
+        FakeHost host = FakeHost.of(4, 0);
+        FakeHost uneven = new FakeHost(FakeHost.settings(12, false, 0));
+        uneven.begin(4, 12);
+        for (int slice = 0; slice < 12; slice++) {
+            uneven.give(slice, slice < 9 ? "s0" : "s" + (slice - 8));
+        }
+        uneven.run(1);
+        long before = uneven.tables.values().stream().filter(t -> t.getOrDefault("s0", 0.0) > 0.5).count();
+        for (int round = 0; round < 10; round++) {
+            for (int i = 0; i < 4; i++) {
+                uneven.sums("s" + i, 20, 0, i == 0 ? 0.9 : 0.2);
+            }
+            uneven.run(1);
+        }
+        long after = uneven.tables.values().stream().filter(t -> t.getOrDefault("s0", 0.0) > 0.5).count();
+        assertTrue(after < before, before + " -> " + after);
+        assertTrue(host.tables.isEmpty());
+    }
+}
