--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -476,6 +476,7 @@
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show.
         strained = usualShare > (strained ? 0.03 : 0.1);
+        calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
         double by = usualShare > 0.1 ? 0.15 : usualShare < 0.03 ? -0.08 : 0;
@@ -630,9 +631,15 @@
         return warmth(server) >= 1 || relative(server, server.demand + slice.demand) <= coldPart();
     }
 
-    /** Under strain servers are sent up to some six times what they can do; a cold one must not be. */
+    private double calmLoad;
+
+    /**
+     * A cold server's part of what the warm carry. When the fleet is sent a multiple of the most it bore
+     * calmly, its part shrinks, so that it stays under half of what would make it fall over.
+     */
     private double coldPart() {
-        return strained ? set.fallMultiple() / 6 : 1;
+        double multiple = calmLoad <= 0 ? 1 : fleetDemand / fleetSize / calmLoad;
+        return Math.min(1, set.fallMultiple() / 2 / Math.max(1, multiple));
     }
 
     /** Guards cold servers: one that carries more than its part, however that came, loses slices at once. */
@@ -715,7 +722,7 @@
         if (!carried) {
             // Orphan. The spare was the least-loaded server when it was chosen and has carried the slice
             // since the mask; it keeps it unless it is now above the mean.
-            boolean keep = spare != null && spare.score <= meanScore() + sliceLoad(slice, spare);
+            boolean keep = spare != null && fits(spare, slice) && spare.score <= meanScore() + sliceLoad(slice, spare);
             Server target = keep ? spare : leastLoaded(slice, source, false);
             target = target == null ? spare : target;
             if (target != null) {
@@ -791,7 +798,9 @@
         Server source = usable.stream().max(Comparator.comparingDouble(s -> s.score)).orElseThrow();
         Slice best = null;
         for (Slice slice : movable(source)) {
-            if (fits(target, slice) && helps(slice, source, target)
+            // By demand, not score: a server without a report counts as average and would never gain.
+            if (source != target && fits(target, slice)
+                    && relative(target, target.demand + slice.demand) < relative(source, source.demand)
                     && (best == null || slice.demand > best.demand)) {
                 best = slice;
             }
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -130,6 +130,26 @@
         assertFalse(host.masks.contains("s2"));
     }
 
+    @Test
+    void aColdServerLosesWhatIsTooMuchForItUnderStrain() {
+        FakeHost host = FakeHost.of(5, 20);
+        rounds(host, 5, 4);
+        host.list("s0", Listed.READY, host.now);
+        host.run(1);
+        rounds(host, 5, 11);
+        assertTrue(host.tables.values().stream().anyMatch(t -> t.getOrDefault("s0", 0.0) > 0.5));
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < 5; i++) {
+                host.sums("s" + i, 40, 30, 1);
+            }
+            for (int slice = 0; slice < 20; slice++) {
+                host.demand(slice, 200);
+            }
+            host.run(1);
+        }
+        assertTrue(host.tables.values().stream().noneMatch(t -> t.getOrDefault("s0", 0.0) > 0.5));
+    }
+
     @Test
     void underStrainNothingIsTriedAgainAndTheCheapestGroupIsShed() {
         FakeHost host = FakeHost.of(4, 8);
