--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -431,7 +431,9 @@
             // Bad lines lie well above what an overloaded but sound server shows; good lines well below.
             // Guards against taking load for illness: more than its part of own slices explains slow and late
             // answers, and a mask would only hand the load to the next one.
-            boolean explained = relative(server, server.demand) > 1.4;
+            // Under strain every server may drop most; an ill one then shows by reporting little or nothing.
+            boolean explained = relative(server, server.demand) > 1.4
+                    || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
             if (share > 0.3 + usualShare || slowness > 3) {
                 if (explained) {
                     server.forgetRound();
@@ -512,6 +514,7 @@
     // ---- Scores.
 
     private double fleetDemand;
+    private double usualReport;
     private double fleetSize;
     private double ownPart;
 
@@ -557,7 +560,7 @@
             server.report = now - server.reportAt > 4 * set.roundNs() ? Double.NaN : server.report;
             fleetSize += server.usable() ? room(server) : 0;
         }
-        double usualReport = Math.max(1e-9, servers.values().stream().filter(Server::usable)
+        usualReport = Math.max(1e-9, servers.values().stream().filter(Server::usable)
                 .mapToDouble(v -> v.report).filter(v -> !Double.isNaN(v)).average().orElse(1));
         for (Slice slice : slices) {
             if (slice.mine) {
@@ -798,9 +801,7 @@
         Server source = usable.stream().max(Comparator.comparingDouble(s -> s.score)).orElseThrow();
         Slice best = null;
         for (Slice slice : movable(source)) {
-            // By demand, not score: a server without a report counts as average and would never gain.
-            if (source != target && fits(target, slice)
-                    && relative(target, target.demand + slice.demand) < relative(source, source.demand)
+            if (fits(target, slice) && helps(slice, source, target)
                     && (best == null || slice.demand > best.demand)) {
                 best = slice;
             }
