--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -127,6 +127,8 @@
         double tries;
         double dropped;
         double tookNs;
+        boolean pressed;
+        long relievedAt = Long.MIN_VALUE / 2;
         double report = Double.NaN;
         long reportAt;
         /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
@@ -434,6 +436,8 @@
             // Under strain every server may drop most; an ill one then shows by reporting little or nothing.
             boolean explained = relative(server, server.demand) > 1.4
                     || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
+            // Half of what makes a line bad: the server is pressed, and gives up a slice this round.
+            server.pressed = share > 0.1 + usualShare || slowness > 2;
             if (share > 0.3 + usualShare || slowness > 3) {
                 if (explained) {
                     server.forgetRound();
@@ -725,7 +729,8 @@
         if (!carried) {
             // Orphan. The spare was the least-loaded server when it was chosen and has carried the slice
             // since the mask; it keeps it unless it is now above the mean.
-            boolean keep = spare != null && fits(spare, slice) && spare.score <= meanScore() + sliceLoad(slice, spare);
+            boolean keep = spare != null && fits(spare, slice)
+                    && spare.score <= meanScore() + sliceLoad(slice, spare);
             Server target = keep ? spare : leastLoaded(slice, source, false);
             target = target == null ? spare : target;
             if (target != null) {
@@ -811,6 +816,29 @@
         }
     }
 
+    /**
+     * Guards against the spiral of one overloaded server, whatever overloads it (an uneven start, a hot slice,
+     * lost speed): one that drops or lags well more than the middle one gives its heaviest slice that helps to
+     * the least loaded, one each time that sums can show the last. It costs warm caches and empties a server
+     * whose trouble isn't load; under strain nobody has room, so it rests.
+     */
+    private void relieve(Server source) {
+        source.pressed = false;
+        if (strained || rounds < 3 || now - source.relievedAt < set.roundNs() + 2 * set.transitMaxNs()) {
+            return;
+        }
+        List<Slice> heaviest = new ArrayList<>(movable(source));
+        heaviest.sort(Comparator.comparingDouble((Slice v) -> -v.demand));
+        for (Slice slice : heaviest) {
+            Server target = leastLoaded(slice, source.id, false);
+            if (target != null && fits(target, slice) && !target.pressed && helps(slice, source, target)) {
+                shift(slice, source, target);
+                source.relievedAt = now;
+                return;
+            }
+        }
+    }
+
     private void even(List<Server> usable) {
         double mean = meanScore();
         double deviation = Math.sqrt(usable.stream().mapToDouble(v -> (v.score - mean) * (v.score - mean))
@@ -874,6 +902,7 @@
         weigh();
         mendAll();
         easeCold();
+        servers.values().stream().filter(v -> v.pressed && v.usable()).forEach(this::relieve);
         balance();
         push();
     }
