--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -128,7 +128,6 @@
         double dropped;
         double tookNs;
         boolean pressed;
-        long relievedAt = Long.MIN_VALUE / 2;
         double report = Double.NaN;
         long reportAt;
         /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
@@ -437,7 +436,7 @@
             boolean explained = relative(server, server.demand) > 1.4
                     || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
             // Half of what makes a line bad: the server is pressed, and gives up a slice this round.
-            server.pressed = share > 0.1 + usualShare || slowness > 2;
+            server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2;
             if (share > 0.3 + usualShare || slowness > 3) {
                 if (explained) {
                     server.forgetRound();
@@ -819,12 +818,12 @@
     /**
      * Guards against the spiral of one overloaded server, whatever overloads it (an uneven start, a hot slice,
      * lost speed): one that drops or lags well more than the middle one gives its heaviest slice that helps to
-     * the least loaded, one each time that sums can show the last. It costs warm caches and empties a server
-     * whose trouble isn't load; under strain nobody has room, so it rests.
+     * the least loaded, one a round of sums. It costs warm caches and empties a server whose trouble isn't
+     * load.
      */
     private void relieve(Server source) {
         source.pressed = false;
-        if (strained || rounds < 3 || now - source.relievedAt < set.roundNs() + 2 * set.transitMaxNs()) {
+        if (rounds < 3) {
             return;
         }
         List<Slice> heaviest = new ArrayList<>(movable(source));
@@ -833,7 +832,6 @@
             Server target = leastLoaded(slice, source.id, false);
             if (target != null && fits(target, slice) && !target.pressed && helps(slice, source, target)) {
                 shift(slice, source, target);
-                source.relievedAt = now;
                 return;
             }
         }
