--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.zip.CRC32;
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
@@ -202,6 +204,7 @@
     private long roundAt = Long.MIN_VALUE / 2;
     private int rounds;
     private boolean newSums;
+    private boolean newRound;
     private long followAt = Long.MAX_VALUE;
     private long followBackoffNs;
     private long robin;
@@ -236,9 +239,7 @@
             cycleAt = now;
             followAt = set.listOnRequest() ? now : Long.MAX_VALUE;
         }
-        for (Event event : events) {
-            learn(event);
-        }
+        events.forEach(this::learn);
         if (newSums) {
             judge();
         }
@@ -277,10 +278,8 @@
             joined.add(e.proxy());
             // A proxy that was here before may hold masks of a stream or a life of ours that is forgotten:
             // a stale mask could leave it bare, so all masks are stated again, the lifted ones too.
-            levelsDue = true;
-            masksDue = true;
+            levelsDue = masksDue = dirty = true;
             unmasksDue |= !e.fresh();
-            dirty = true;
         } else if (event instanceof Event.ProxyLeft e) {
             joined.remove(e.proxy());
             acknowledged(e.proxy(), -1);
@@ -300,17 +299,12 @@
             followBackoffNs = 0;
             followAt = Long.MAX_VALUE;
         }
-        TreeSet<String> named = new TreeSet<>();
-        for (Event.Entry entry : list.entries()) {
-            named.add(entry.server());
-            learnEntry(entry);
-        }
+        list.entries().forEach(this::learnEntry);
         if (list.kind() != Event.ListKind.PATCH) {
-            for (Server server : servers.values()) {
-                if (!named.contains(server.id)) {
-                    server.ready = false;
-                    step(server, Input.LEAVES);
-                }
+            Set<String> named = list.entries().stream().map(Event.Entry::server).collect(Collectors.toSet());
+            for (Server server : servers.values().stream().filter(v -> !named.contains(v.id)).toList()) {
+                server.ready = false;
+                step(server, Input.LEAVES);
             }
         }
         dirty = true;
@@ -340,6 +334,7 @@
         if (now - roundAt > set.roundNs() / 2) {
             roundAt = now;
             rounds++;
+            newRound = true;
         }
         newSums = true;
         Server server = servers.get(sums.server());
@@ -359,13 +354,10 @@
     }
 
     private static double reported(Map<Measure, Double> report, double size) {
-        Double busy = report.get(Measure.BUSY);
-        if (busy != null) {
-            return busy;
-        }
-        for (Measure measure : List.of(Measure.HELD, Measure.WAITING, Measure.DELIVERED_PER_S)) {
+        for (Measure measure : List.of(Measure.BUSY, Measure.HELD, Measure.WAITING, Measure.DELIVERED_PER_S)) {
             if (report.containsKey(measure)) {
-                return report.get(measure) / size;
+                // Cores busy are a share of the server's own already; counts are put per listed size.
+                return report.get(measure) / (measure == Measure.BUSY ? 1 : size);
             }
         }
         return Double.NaN;
@@ -497,10 +489,8 @@
         if (set.levelIsRate()) {
             return 1e6;
         }
-        int before = 0;
-        for (int i = 0; i < set.groups().size(); i++) {
-            before += value(i) < value(group) || value(i) == value(group) && i < group ? 1 : 0;
-        }
+        long before = IntStream.range(0, set.groups().size())
+                .filter(i -> value(i) < value(group) || value(i) == value(group) && i < group).count();
         boolean most = before == set.groups().size() - 1;
         return !set.levelsHeeded() || most ? 1 : Math.max(0.2, Math.min(1, 1 - (shed - 0.8 * before)));
     }
@@ -534,9 +524,18 @@
         return server.size * warmth(server);
     }
 
-    /** A line of a slice at less than this part of its heaviest is a spare. */
-    private static boolean full(Slice slice, double weight) {
-        return weight > slice.want.values().stream().max(Double::compare).orElse(0.0) / 2;
+    /** Whether the slice has a full line on the server; less than half of its heaviest line is a spare. */
+    private static boolean full(Slice slice, String id) {
+        return slice.want.getOrDefault(id, 0.0) > top(slice) / 2;
+    }
+
+    private static double top(Slice slice) {
+        return slice.want.values().stream().max(Double::compare).orElse(0.0);
+    }
+
+    /** The demand that one full line of the slice brings. */
+    private static double each(Slice slice) {
+        return slice.demand / Math.max(1, slice.want.keySet().stream().filter(id -> full(slice, id)).count());
     }
 
     private void weigh() {
@@ -602,14 +601,14 @@
                 double part = line.getValue() / sum;
                 server.count += part;
                 server.demand += part * slice.demand;
-                server.spareDemand += full(slice, line.getValue()) ? 0 : slice.demand;
+                server.spareDemand += full(slice, line.getKey()) ? 0 : slice.demand;
             }
         }
     }
 
     /** What a slice adds to a server's score: its slice load, and what the next reports will show of it. */
     private double sliceLoad(Slice slice, Server server) {
-        double demand = relative(server, slice.demand);
+        double demand = relative(server, each(slice));
         return SLICE_PART * (COUNT_PART / room(server) * fleetSize / Math.max(1, ownPart * slices.length)
                 + DEMAND_PART * demand) + REPORT_PART * ownPart * demand;
     }
@@ -618,23 +617,22 @@
         slice.movedAt = now;
         // The view of placed load is updated at once; reports will take some seconds to show it.
         if (to != null) {
-            double demand = relative(to, slice.demand);
-            to.shift.add(now, ownPart * demand);
+            to.shift.add(now, ownPart * relative(to, each(slice)));
             to.score += sliceLoad(slice, to);
             to.count++;
-            to.demand += slice.demand;
+            to.demand += each(slice);
         }
         if (from != null) {
-            from.shift.add(now, -ownPart * relative(from, slice.demand));
+            from.shift.add(now, -ownPart * relative(from, each(slice)));
             from.score -= sliceLoad(slice, from);
             from.count--;
-            from.demand -= slice.demand;
+            from.demand -= each(slice);
         }
     }
 
     /** Own demand a server may be given: its fair part of what there is, and as little as it is cold. */
     private boolean fits(Server server, Slice slice) {
-        return warmth(server) >= 1 || relative(server, server.demand + slice.demand) <= coldPart();
+        return warmth(server) >= 1 || relative(server, server.demand + each(slice)) <= coldPart();
     }
 
     private double calmLoad;
@@ -650,16 +648,14 @@
 
     /** Guards cold servers: one that carries more than its part, however that came, loses slices at once. */
     private void easeCold() {
-        for (Server server : servers.values()) {
+        for (Server server : servers.values().stream().filter(v -> v.usable() && warmth(v) < 1).toList()) {
             for (Slice slice : slices) {
                 // A quarter over the part that fits keeps a slice from going back and forth.
-                if (server.usable() && warmth(server) < 1
-                        && relative(server, server.demand) > 1.25 * coldPart()
-                        && slice.mine && slice.want.getOrDefault(server.id, 0.0) >= 0.5) {
+                if (relative(server, server.demand) > 1.25 * coldPart() && slice.mine && full(slice, server.id)) {
                     Server target = leastLoaded(slice, server.id, false);
                     // Not all on the one warm server left: twice its part is the most it is given.
                     if (target != null && warmth(target) >= 1
-                            && relative(target, target.demand + slice.demand) < 2) {
+                            && relative(target, target.demand + each(slice)) < 2) {
                         shift(slice, server, target);
                     }
                 }
@@ -712,7 +708,7 @@
         }
         for (Map.Entry<String, Double> line : before.entrySet()) {
             if (servers.get(line.getKey()).leaving()) {
-                source = full(slice, line.getValue()) ? line.getKey() : source;
+                source = full(slice, line.getKey()) ? line.getKey() : source;
                 slice.want.remove(line.getKey());
             }
         }
@@ -721,7 +717,7 @@
         for (Map.Entry<String, Double> line : slice.want.entrySet()) {
             Server server = servers.get(line.getKey());
             if (!server.masked()) {
-                carried |= line.getValue() >= 0.5;
+                carried |= full(slice, line.getKey());
                 spare = spare == null || server.score < spare.score ? server : spare;
             }
         }
@@ -748,13 +744,34 @@
         }
     }
 
+    /**
+     * A slice hotter than a part of a server gets more full lines, fewer again when it cools. It halves the
+     * warmth of the keys on each, so the bounds lie well apart and well above an ordinary slice.
+     */
+    private void spread(Slice slice) {
+        double part = fleetDemand <= 0 ? 0 : slice.demand / fleetDemand
+                * servers.values().stream().filter(Server::usable).count();
+        List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id)).map(servers::get).toList();
+        if (part / lines.size() > 0.6 && lines.size() < 4) {
+            Server target = leastLoaded(slice, null, false);
+            if (target != null && fits(target, slice)) {
+                slice.want.put(target.id, top(slice));
+                slice.changedAt = now;
+                moved(slice, null, target);
+            }
+        } else if (lines.size() > 1 && part / (lines.size() - 1) < 0.4) {
+            lines.stream().max(Comparator.comparingDouble(v -> v.score)).ifPresent(v -> slice.want.remove(v.id));
+            slice.changedAt = now;
+        }
+    }
+
     private void mendSpares(Slice slice) {
         int usable = 0;
         Server worst = null;
         for (Map.Entry<String, Double> line : slice.want.entrySet()) {
             Server server = servers.get(line.getKey());
             usable += server.masked() ? 0 : 1;
-            if (line.getValue() < 0.5 && server.state == State.WELL
+            if (!full(slice, line.getKey()) && server.state == State.WELL
                     && (worst == null || server.score > worst.score)) {
                 worst = server;
             }
@@ -762,7 +779,7 @@
         if (usable < 2) {
             Server spare = leastLoaded(slice, null, true);
             if (spare != null) {
-                slice.want.put(spare.id, SPARE);
+                slice.want.put(spare.id, SPARE * top(slice));
                 spare.spareDemand += slice.demand;
             }
         } else if (usable > 2 && worst != null) {
@@ -803,16 +820,8 @@
     /** A fresh server, or one back from illness, gains a slice a cycle from the most loaded. */
     private void gain(Server target, List<Server> usable) {
         Server source = usable.stream().max(Comparator.comparingDouble(s -> s.score)).orElseThrow();
-        Slice best = null;
-        for (Slice slice : movable(source)) {
-            if (fits(target, slice) && helps(slice, source, target)
-                    && (best == null || slice.demand > best.demand)) {
-                best = slice;
-            }
-        }
-        if (best != null) {
-            shift(best, source, target);
-        }
+        movable(source).stream().filter(v -> fits(target, v) && helps(v, source, target))
+                .max(Comparator.comparingDouble(v -> v.demand)).ifPresent(v -> shift(v, source, target));
     }
 
     /**
@@ -826,9 +835,8 @@
         if (rounds < 3) {
             return;
         }
-        List<Slice> heaviest = new ArrayList<>(movable(source));
-        heaviest.sort(Comparator.comparingDouble((Slice v) -> -v.demand));
-        for (Slice slice : heaviest) {
+        Comparator<Slice> heaviest = Comparator.comparingDouble(v -> -v.demand);
+        for (Slice slice : movable(source).stream().sorted(heaviest).toList()) {
             Server target = leastLoaded(slice, source.id, false);
             if (target != null && fits(target, slice) && !target.pressed && helps(slice, source, target)) {
                 shift(slice, source, target);
@@ -874,13 +882,13 @@
     }
 
     private List<Slice> movable(Server source) {
-        return Arrays.stream(slices).filter(v -> v.mine && v.want.getOrDefault(source.id, 0.0) >= 0.5
+        return Arrays.stream(slices).filter(v -> v.mine && full(v, source.id)
                 && now - v.movedAt > 20 * SECOND).toList();
     }
 
     private void shift(Slice slice, Server from, Server to) {
+        slice.want.put(to.id, Math.max(1, top(slice)));
         slice.want.remove(from.id);
-        slice.want.put(to.id, 1.0);
         slice.changedAt = now;
         moved(slice, from, to);
         log("move " + slice.number + " " + from.id + " -> " + to.id);
@@ -900,6 +908,10 @@
         weigh();
         mendAll();
         easeCold();
+        if (newRound && rounds >= 3 && !set.soleOwner()) {
+            Arrays.stream(slices).filter(v -> v.mine).forEach(this::spread);
+            newRound = false;
+        }
         servers.values().stream().filter(v -> v.pressed && v.usable()).forEach(this::relieve);
         balance();
         push();
