--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -85,38 +85,6 @@
 
     // ---- What is known.
 
-    /** Sums over time in fixed buckets that are used again in a ring. */
-    private static final class Ring {
-        private static final int BUCKETS = 8;
-        private final double[] sum = new double[BUCKETS];
-        private final long[] number = new long[BUCKETS];
-        private final long bucketNs;
-
-        Ring(long bucketNs) {
-            this.bucketNs = bucketNs;
-        }
-
-        void add(long at, double amount) {
-            long bucket = at / bucketNs;
-            int place = (int) Math.floorMod(bucket, (long) BUCKETS);
-            if (number[place] != bucket) {
-                number[place] = bucket;
-                sum[place] = 0;
-            }
-            sum[place] += amount;
-        }
-
-        /** What came in the latest buckets, the one of now among them. */
-        double over(long at, int buckets) {
-            long newest = at / bucketNs;
-            double total = 0;
-            for (int i = 0; i < BUCKETS; i++) {
-                total += number[i] <= newest && number[i] > newest - buckets ? sum[i] : 0;
-            }
-            return total;
-        }
-    }
-
     private static final class Server {
         final String id;
         double size = 1;
@@ -133,7 +101,7 @@
         double report = Double.NaN;
         long reportAt;
         /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
-        final Ring shift = new Ring(SECOND);
+        final Ring shift = new Ring(8, SECOND);
         /** Own placed load, worked out anew before each decision. */
         double count;
         double demand;
@@ -168,7 +136,7 @@
         boolean mine;
         final TreeMap<String, Double> want = new TreeMap<>();
         final TreeMap<String, Double> sent = new TreeMap<>();
-        final Ring heard = new Ring(SECOND);
+        final Ring heard = new Ring(8, SECOND);
         double demand;
         long movedAt = Long.MIN_VALUE / 2;
         long changedAt;
@@ -651,7 +619,8 @@
         for (Server server : servers.values().stream().filter(v -> v.usable() && warmth(v) < 1).toList()) {
             for (Slice slice : slices) {
                 // A quarter over the part that fits keeps a slice from going back and forth.
-                if (relative(server, server.demand) > 1.25 * coldPart() && slice.mine && full(slice, server.id)) {
+                if (relative(server, server.demand) > 1.25 * coldPart()
+                        && slice.mine && full(slice, server.id)) {
                     Server target = leastLoaded(slice, server.id, false);
                     // Not all on the one warm server left: twice its part is the most it is given.
                     if (target != null && warmth(target) >= 1
@@ -702,13 +671,14 @@
     private void mend(Slice slice) {
         String source = null;
         TreeMap<String, Double> before = new TreeMap<>(slice.want);
+        double top = top(slice);
         boolean bareSoon = slice.want.keySet().stream().allMatch(id -> servers.get(id).leaving());
         if (bareSoon && servers.values().stream().noneMatch(Server::usable)) {
             return;
         }
         for (Map.Entry<String, Double> line : before.entrySet()) {
             if (servers.get(line.getKey()).leaving()) {
-                source = full(slice, line.getKey()) ? line.getKey() : source;
+                source = line.getValue() > top / 2 ? line.getKey() : source;
                 slice.want.remove(line.getKey());
             }
         }
@@ -717,7 +687,7 @@
         for (Map.Entry<String, Double> line : slice.want.entrySet()) {
             Server server = servers.get(line.getKey());
             if (!server.masked()) {
-                carried |= full(slice, line.getKey());
+                carried |= line.getValue() > top / 2;
                 spare = spare == null || server.score < spare.score ? server : spare;
             }
         }
@@ -749,10 +719,10 @@
      * warmth of the keys on each, so the bounds lie well apart and well above an ordinary slice.
      */
     private void spread(Slice slice) {
-        double part = fleetDemand <= 0 ? 0 : slice.demand / fleetDemand
+        double part = fleetDemand <= 0 ? 0 : ownPart * slice.demand / fleetDemand
                 * servers.values().stream().filter(Server::usable).count();
         List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id)).map(servers::get).toList();
-        if (part / lines.size() > 0.6 && lines.size() < 4) {
+        if (part / lines.size() > 0.7 && lines.size() < 4) {
             Server target = leastLoaded(slice, null, false);
             if (target != null && fits(target, slice)) {
                 slice.want.put(target.id, top(slice));
