--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -322,7 +322,8 @@
     }
 
     private static double reported(Map<Measure, Double> report, double size) {
-        for (Measure measure : List.of(Measure.BUSY, Measure.HELD, Measure.WAITING, Measure.DELIVERED_PER_S)) {
+        for (Measure measure : EnumSet.of(Measure.BUSY, Measure.HELD, Measure.WAITING,
+                Measure.DELIVERED_PER_S)) {
             if (report.containsKey(measure)) {
                 // Cores busy are a share of the server's own already; counts are put per listed size.
                 return report.get(measure) / (measure == Measure.BUSY ? 1 : size);
@@ -393,7 +394,10 @@
             // Guards against taking load for illness: more than its part of own slices explains slow and late
             // answers, and a mask would only hand the load to the next one.
             // Under strain every server may drop most; an ill one then shows by reporting little or nothing.
-            boolean explained = relative(server, server.demand) > 1.4
+            // The sums are of some seconds ago, when what was moved off since was still here.
+            double carried = relative(server, server.demand)
+                    - server.shift.over(now, 4) / Math.max(0.01, ownPart);
+            boolean explained = carried > 1.4
                     || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
             // Half of what makes a line bad: the server is pressed, and gives up a slice this round.
             server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2;
@@ -559,10 +563,8 @@
 
     /** Counts a slice's load on the servers that carry it under the masks that stand. */
     private void place(Slice slice) {
-        double sum = 0;
-        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
-            sum += servers.get(line.getKey()).masked() ? 0 : line.getValue();
-        }
+        double sum = slice.want.entrySet().stream().filter(v -> !servers.get(v.getKey()).masked())
+                .mapToDouble(Map.Entry::getValue).sum();
         for (Map.Entry<String, Double> line : slice.want.entrySet()) {
             Server server = servers.get(line.getKey());
             if (!server.masked()) {
@@ -699,9 +701,7 @@
             Server target = keep ? spare : leastLoaded(slice, source, false);
             target = target == null ? spare : target;
             if (target != null) {
-                for (Map.Entry<String, Double> line : slice.want.entrySet()) {
-                    line.setValue(SPARE);
-                }
+                slice.want.replaceAll((id, weight) -> SPARE);
                 slice.want.put(target.id, 1.0);
                 moved(slice, null, target);
             }
@@ -721,7 +721,8 @@
     private void spread(Slice slice) {
         double part = fleetDemand <= 0 ? 0 : ownPart * slice.demand / fleetDemand
                 * servers.values().stream().filter(Server::usable).count();
-        List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id)).map(servers::get).toList();
+        List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id))
+                .map(servers::get).toList();
         if (part / lines.size() > 0.7 && lines.size() < 4) {
             Server target = leastLoaded(slice, null, false);
             if (target != null && fits(target, slice)) {
@@ -730,7 +731,7 @@
                 moved(slice, null, target);
             }
         } else if (lines.size() > 1 && part / (lines.size() - 1) < 0.4) {
-            lines.stream().max(Comparator.comparingDouble(v -> v.score)).ifPresent(v -> slice.want.remove(v.id));
+            slice.want.remove(lines.stream().max(Comparator.comparingDouble(v -> v.score)).orElseThrow().id);
             slice.changedAt = now;
         }
     }
@@ -795,8 +796,8 @@
     }
 
     /**
-     * Guards against the spiral of one overloaded server, whatever overloads it (an uneven start, a hot slice,
-     * lost speed): one that drops or lags well more than the middle one gives its heaviest slice that helps to
+     * Guards against the spiral of one overloaded server, whatever loads it (an uneven start, a hot slice,
+     * lost speed): one that drops or lags well more than the middle one gives its heaviest helpful slice to
      * the least loaded, one a round of sums. It costs warm caches and empties a server whose trouble isn't
      * load.
      */
@@ -899,12 +900,8 @@
         List<Slice> due = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent))
                 .sorted(Comparator.comparing((Slice v) -> !rescue(v)).thenComparing(v -> v.changedAt)
                         .thenComparing(v -> v.number)).toList();
-        TreeSet<String> masks = new TreeSet<>();
-        for (Server server : servers.values()) {
-            if (server.masked() && !noLineOn(server.id)) {
-                masks.add(server.id);
-            }
-        }
+        TreeSet<String> masks = servers.values().stream().filter(v -> v.masked() && !noLineOn(v.id))
+                .map(v -> v.id).collect(Collectors.toCollection(TreeSet::new));
         TreeSet<String> lifted = new TreeSet<>(maskSent);
         lifted.removeIf(id -> servers.get(id).masked());
         boolean newMask = !maskSent.containsAll(masks);
@@ -916,13 +913,9 @@
             dirty |= urgent;
             return;
         }
-        double each = joined.size();
-        double waiting = 0;
-        for (Turn turn : turns) {
-            waiting += turn.linesEach * turn.waiting.size();
-        }
+        double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
         // Under half the queue for the ordinary; what the rules demand may go a little further.
-        double lines = (set.queueLimit() * (urgent ? 0.6 : 0.45) - waiting) / each - set.head()
+        double lines = (set.queueLimit() * (urgent ? 0.6 : 0.45) - waiting) / joined.size() - set.head()
                 - 1 - levelLines;
         if (lines < 1) {
             dirty |= urgent;
