--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -414,7 +414,7 @@
                 server.forgetRound();
             }
         }
-        strain(usualShare);
+        strain(usualShare, usualTime);
         // Guards against a bad view: where most look ill it is the view, the load or ourselves, and masking
         // would push the rest over. Not more than a third may be masked as ill at a time.
         long ready = servers.values().stream().filter(s -> s.ready).count();
@@ -441,14 +441,18 @@
      * of least utility for their work are let in less, step by step. It would harm if drops had a cause
      * that less traffic can't help, so the view must hold for the middle server, not for a few.
      */
-    private void strain(double usualShare) {
+    private void strain(double usualShare, double usualTime) {
         boolean was = strained;
-        // One in ten is far above errors in good times; one in thirty is about what they show.
-        strained = usualShare > (strained ? 0.03 : 0.1);
+        // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
+        // seconds after the queues grew, so answers that take half the budget on the middle server count too.
+        double late = usualTime / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(1);
+        boolean more = usualShare > 0.1 || late > 0.5;
+        boolean less = usualShare < 0.03 && late < 0.35;
+        strained = more || strained && !less;
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
-        double by = usualShare > 0.1 ? 0.15 : usualShare < 0.03 ? -0.08 : 0;
+        double by = more ? 0.15 : less ? -0.08 : 0;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
         if (was != strained || shed != before) {
             levelsDue = true;
