--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -434,6 +434,7 @@
 
     private boolean strained;
     private double shed;
+    private double peak;
 
     /**
      * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
@@ -452,8 +453,11 @@
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
-        double by = more ? 0.15 : less ? -0.08 : 0;
+        // A quarter of a group at a time, so that a second round is rarely late; given back quickly down to
+        // what was likely too much, then slowly, as the load that brought the strain may still be there.
+        double by = more ? 0.25 : !less ? 0 : shed > 0.6 * peak ? -0.15 : -0.05;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
+        peak = more ? shed : shed == 0 ? 0 : peak;
         if (was != strained || shed != before) {
             levelsDue = true;
             log("strained " + strained + " shed " + shed);
