Every group tries again only on proof that the first try never ran

It gives up second tries after quick errors; clients repeat those themselves. Settings keep only what is read.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -21,7 +21,6 @@
 import puffinbarrow.control.Order;
 import puffinbarrow.control.Order.Retry;
 import puffinbarrow.control.Settings;
-import puffinbarrow.control.Settings.Repeat;
 
 /**
  * All decisions of one coordinator. A host makes one Logic for each coordinator start, from its settings and
@@ -160,19 +159,13 @@
     private final TreeSet<String> maskSent = new TreeSet<>();
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
     private final ArrayDeque<Long> turnTimes = new ArrayDeque<>();
-    private boolean started;
-    private boolean dirty;
     private boolean levelsDue = true;
-    private boolean masksDue;
-    private boolean unmasksDue;
+    private boolean started, dirty, masksDue, unmasksDue, newSums, newRound;
     private int mark;
-    private long tickAt;
-    private long cycleAt;
+    private long tickAt, cycleAt;
     private long lastTurn = Long.MIN_VALUE / 2;
     private long roundAt = Long.MIN_VALUE / 2;
     private int rounds;
-    private boolean newSums;
-    private boolean newRound;
     private long followAt = Long.MAX_VALUE;
     private long followBackoffNs;
     private long robin;
@@ -446,7 +439,8 @@
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
         // seconds after the queues grew, so answers that take half the budget on the middle server count too.
-        double late = usualTime / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(1);
+        double late = usualTime
+                / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(1);
         boolean more = usualShare > 0.1 || late > 0.5;
         boolean less = usualShare < 0.03 && late < 0.35;
         strained = more || strained && !less;
@@ -1013,24 +1007,21 @@
                         && v.sent.keySet().stream().allMatch(s -> s.equals(id) || maskSent.contains(s)));
     }
 
-    /** States the way of trying again for every traffic group, by what a repeat could do. */
+    /**
+     * States the way of trying again, on proof that the first never ran: a repeat can then neither take effect
+     * twice nor double the work of servers that are late already, which is how overload turns into collapse.
+     */
     private int setLevels() {
         TreeMap<String, Order.SetLevel> levels = new TreeMap<>();
         for (int i = 0; i < set.groups().size(); i++) {
-            Retry retry = strained ? Retry.NEVER : retryOf(set.groups().get(i));
+            Retry retry = strained ? Retry.NEVER : Retry.ON_PROOF;
             double level = level(i);
             Order.SetLevel same = levels.get(retry + " " + level);
             int groups = (same == null ? 0 : same.groups()) | 1 << i;
-            levels.put(retry + " " + level, new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
+            same = new Order.SetLevel(Order.ALL_TABLES, groups, level, retry);
+            levels.put(retry + " " + level, same);
         }
         out.addAll(levels.values());
         return levels.size();
     }
-
-    private static Retry retryOf(Settings.Group group) {
-        boolean harmless = group.repeat() == Repeat.RETRIABLE
-                || group.repeat() == Repeat.DEDUPED && group.dedupedEverywhere()
-                && group.dedupeNs() >= group.expiryNs();
-        return harmless ? Retry.ONCE : Retry.ON_PROOF;
-    }
 }
--- a/src/main/java/puffinbarrow/control/Settings.java
+++ b/src/main/java/puffinbarrow/control/Settings.java
@@ -3,15 +3,10 @@
 import java.util.List;
 
 /** The start settings a decision may read. */
-public record Settings(int me, int coordinators, boolean listOnRequest, boolean probesAllowed,
-        boolean levelIsRate, boolean levelsHeeded, List<Group> groups,
-        int slices, boolean soleOwner, int proxies, double linesPerS, double queueLimit, double head,
-        int messagesAllowed, long messagesSpanNs, long bareNs, long roundNs, long transitMaxNs,
-        long graceNs, long warmNs, double coldShare, double fallMultiple, long askWithinNs) {
+public record Settings(boolean listOnRequest, boolean levelIsRate, boolean levelsHeeded, List<Group> groups,
+        int slices, boolean soleOwner, double queueLimit, double head, int messagesAllowed, long messagesSpanNs,
+        long roundNs, long warmNs, double coldShare, double fallMultiple) {
 
-    public enum Repeat { RETRIABLE, DEDUPED, NON_RETRIABLE }
-
-    /** A traffic group; {@code dedupedEverywhere}: all servers discard repeats of one of its flows. */
-    public record Group(Repeat repeat, boolean dedupedEverywhere, long dedupeNs, long expiryNs,
-            double utility, long budgetNs) {}
+    /** A traffic group: what an answer in time is worth, and by when it is in time. */
+    public record Group(double utility, long budgetNs) {}
 }
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -12,36 +12,21 @@
     static Settings settings(Object facts) {
         Map<?, ?> all = map(facts, "Facts");
         Map<?, ?> domain = map(all.get("Domain"), "Domain");
-        Map<?, ?> ceilings = map(all.get("Ceilings"), "Ceilings");
         Map<?, ?> rules = map(all.get("Rules"), "Rules");
         List<Settings.Group> groups = new ArrayList<>();
         for (Object each : list(all.get("RequestClasses"), "RequestClasses")) {
             groups.add(group(map(each, "RequestClasses")));
         }
         String throttle = String.valueOf(domain.get("ThrottleBy"));
-        return new Settings((int) whole(all, "Me"), (int) whole(all, "Instances"),
-                "ask".equals(all.get("Discovery")), flag(ceilings, "Probes"),
-                throttle.equals("per_second"), !throttle.equals("off"), groups,
-                (int) whole(domain, "Ranges"), flag(domain, "SoleOwner"), (int) whole(domain, "ProxyCount"),
-                real(domain, "EgressPerS"), real(domain, "Backlog"), real(domain, "Overhead"),
-                (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"),
-                whole(domain, "BlackholeNs"), whole(domain, "ReportEveryNs"),
-                whole(domain, "PushDelayMaxNs"), whole(rules, "StopSendingWithinNs"),
-                whole(rules, "WarmWithinNs"), real(rules, "StartCapacity"), real(rules, "FallMultiple"),
-                whole(rules, "AskWithinNs"));
+        return new Settings("ask".equals(all.get("Discovery")), throttle.equals("per_second"),
+                !throttle.equals("off"), groups, (int) whole(domain, "Ranges"), flag(domain, "SoleOwner"),
+                real(domain, "Backlog"), real(domain, "Overhead"), (int) whole(domain, "PushesAllowed"),
+                whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"), whole(rules, "WarmWithinNs"),
+                real(rules, "StartCapacity"), real(rules, "FallMultiple"));
     }
 
     private static Settings.Group group(Map<?, ?> each) {
-        String semantics = String.valueOf(each.get("Semantics"));
-        Settings.Repeat repeat = switch (semantics) {
-            case "repeatable" -> Settings.Repeat.RETRIABLE;
-            case "by_key" -> Settings.Repeat.DEDUPED;
-            case "once" -> Settings.Repeat.NON_RETRIABLE;
-            default -> throw new MalformedBatch("Semantics: unknown value " + semantics);
-        };
-        return new Settings.Group(repeat, "all".equals(each.get("DedupScope")),
-                whole(each, "WindowNs"), whole(each, "HardLimitNs"),
-                real(each, "Importance"), whole(each, "AimNs"));
+        return new Settings.Group(real(each, "Importance"), whole(each, "AimNs"));
     }
 
     private static double real(Map<?, ?> from, String key) {
