--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -393,8 +393,10 @@
             boolean explained = carried > 1.4
                     || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
             // Half of what makes a line bad: the server is pressed, and gives up a slice this round.
-            server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2;
-            if (share > 0.3 + usualShare || slowness > 3) {
+            // Slow counts only where it hurts: against the latency budget, not just the middle server.
+            double late = delivered < 3 ? 0 : server.tookNs / delivered / budget();
+            server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2 && late > 0.3;
+            if (share > 0.3 + usualShare || slowness > 3 && late > 0.6) {
                 if (explained) {
                     server.forgetRound();
                 } else {
@@ -439,8 +441,7 @@
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
         // seconds after the queues grew, so answers that take half the budget on the middle server count too.
-        double late = usualTime
-                / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(1);
+        double late = usualTime / budget();
         boolean more = usualShare > 0.1 || late > 0.5;
         boolean less = usualShare < 0.03 && late < 0.35;
         strained = more || strained && !less;
@@ -473,6 +474,10 @@
         return set.groups().get(group).utility() / Math.max(1, set.groups().get(group).budgetNs());
     }
 
+    private double budget() {
+        return set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(SECOND);
+    }
+
     private static double median(List<Double> values) {
         values.sort(Comparator.naturalOrder());
         return values.isEmpty() ? 0 : values.get(values.size() / 2);
