--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -93,19 +93,14 @@
         long holdNs;
         long holdUntil;
         /** This round's sums: tries, dropped, and time taken over the delivered ones. */
-        double tries;
-        double dropped;
-        double tookNs;
+        double tries, dropped, tookNs;
         boolean pressed;
         double report = Double.NaN;
         long reportAt;
         /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
         final Ring shift = new Ring(8, SECOND);
         /** Own placed load, worked out anew before each decision. */
-        double count;
-        double demand;
-        double spareDemand;
-        double score;
+        double count, demand, spareDemand, score;
 
         Server(String id) {
             this.id = id;
@@ -124,9 +119,7 @@
         }
 
         void forgetRound() {
-            tries = 0;
-            dropped = 0;
-            tookNs = 0;
+            tries = dropped = tookNs = 0;
         }
     }
 
@@ -163,8 +156,7 @@
     private boolean started, dirty, masksDue, unmasksDue, newSums, newRound;
     private int mark;
     private long tickAt, cycleAt;
-    private long lastTurn = Long.MIN_VALUE / 2;
-    private long roundAt = Long.MIN_VALUE / 2;
+    private long lastTurn = Long.MIN_VALUE / 2, roundAt = lastTurn;
     private int rounds;
     private long followAt = Long.MAX_VALUE;
     private long followBackoffNs;
@@ -374,6 +366,7 @@
         }
         double usualShare = median(shares);
         double usualTime = median(times);
+        double shortest = set.groups().stream().mapToDouble(Settings.Group::budgetNs).min().orElse(SECOND);
         List<Server> bad = new ArrayList<>();
         for (Server server : servers.values()) {
             // Fewer tries than these say nothing; a trial gets few, so fewer must do.
@@ -394,9 +387,9 @@
                     || strained && warmth(server) >= 1 && server.report > 0.6 * usualReport;
             // Half of what makes a line bad: the server is pressed, and gives up a slice this round.
             // Slow counts only where it hurts: against the latency budget, not just the middle server.
-            double late = delivered < 3 ? 0 : server.tookNs / delivered / budget();
-            server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2 && late > 0.3;
-            if (share > 0.3 + usualShare || slowness > 3 && late > 0.6) {
+            double late = delivered < 3 ? 0 : server.tookNs / delivered / shortest;
+            server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2 && late > 0.4;
+            if (share > 0.3 + usualShare || slowness > 3 && late > 0.8) {
                 if (explained) {
                     server.forgetRound();
                 } else {
@@ -428,8 +421,7 @@
     // ---- Strain: the whole fleet drops flows, so there is more than it can do.
 
     private boolean strained;
-    private double shed;
-    private double peak;
+    private double shed, peak;
 
     /**
      * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
@@ -441,7 +433,8 @@
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
         // seconds after the queues grew, so answers that take half the budget on the middle server count too.
-        double late = usualTime / budget();
+        double late = usualTime
+                / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(SECOND);
         boolean more = usualShare > 0.1 || late > 0.5;
         boolean less = usualShare < 0.03 && late < 0.35;
         strained = more || strained && !less;
@@ -474,10 +467,6 @@
         return set.groups().get(group).utility() / Math.max(1, set.groups().get(group).budgetNs());
     }
 
-    private double budget() {
-        return set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(SECOND);
-    }
-
     private static double median(List<Double> values) {
         values.sort(Comparator.naturalOrder());
         return values.isEmpty() ? 0 : values.get(values.size() / 2);
@@ -485,10 +474,7 @@
 
     // ---- Scores.
 
-    private double fleetDemand;
-    private double usualReport;
-    private double fleetSize;
-    private double ownPart;
+    private double fleetDemand, fleetSize, ownPart, usualReport;
 
     /** The share of full capacity a server is sure to have: it rises evenly over the warm time or faster. */
     private double warmth(Server server) {
@@ -535,9 +521,7 @@
             fleetDemand = mine;
         }
         for (Server server : servers.values()) {
-            server.count = 0;
-            server.demand = 0;
-            server.spareDemand = 0;
+            server.count = server.demand = server.spareDemand = 0;
             server.report = now - server.reportAt > 4 * set.roundNs() ? Double.NaN : server.report;
             fleetSize += server.usable() ? room(server) : 0;
         }
@@ -1023,8 +1007,8 @@
             double level = level(i);
             Order.SetLevel same = levels.get(retry + " " + level);
             int groups = (same == null ? 0 : same.groups()) | 1 << i;
-            same = new Order.SetLevel(Order.ALL_TABLES, groups, level, retry);
-            levels.put(retry + " " + level, same);
+            levels.put(retry + " " + level,
+                    new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
         }
         out.addAll(levels.values());
         return levels.size();
