--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -369,8 +369,10 @@
         double shortest = set.groups().stream().mapToDouble(Settings.Group::budgetNs).min().orElse(SECOND);
         List<Server> bad = new ArrayList<>();
         for (Server server : servers.values()) {
-            // Fewer tries than these say nothing; a trial gets few, so fewer must do.
-            if (!server.ready || server.masked() || server.tries < (server.state == State.TRIAL ? 3 : 8)) {
+            // Fewer tries say nothing, unless nearly all fail; a trial gets few, so fewer must do.
+            boolean sure = server.dropped >= 4 && server.dropped > 0.8 * server.tries;
+            if (!server.ready || server.masked()
+                    || server.tries < (server.state == State.TRIAL ? 3 : 8) && !sure) {
                 continue;
             }
             double share = server.dropped / server.tries;
@@ -1007,8 +1009,8 @@
             double level = level(i);
             Order.SetLevel same = levels.get(retry + " " + level);
             int groups = (same == null ? 0 : same.groups()) | 1 << i;
-            levels.put(retry + " " + level,
-                    new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
+            Order.SetLevel order = new Order.SetLevel(Order.ALL_TABLES, groups, level, retry);
+            levels.put(retry + " " + level, order);
         }
         out.addAll(levels.values());
         return levels.size();
