--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -423,7 +423,7 @@
     // ---- Strain: the whole fleet drops flows, so there is more than it can do.
 
     private boolean strained;
-    private double shed, peak;
+    private double shed, peak, onset, lastStrain;
 
     /**
      * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
@@ -443,11 +443,16 @@
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
-        // A quarter of a group at a time, so that a second round is rarely late; given back quickly down to
-        // what was likely too much, then slowly, as the load that brought the strain may still be there.
-        double by = more ? 0.25 : !less ? 0 : shed > 0.6 * peak ? -0.15 : -0.05;
+        // A quarter of a group at a time, held while things get better, as sums show a step late. Given back
+        // quickly down to 0.6 of the peak or a little above where strain set in again, then slowly, as the
+        // load that brought it may still be there.
+        boolean better = usualShare + late < 0.9 * lastStrain;
+        lastStrain = usualShare + late;
+        onset = strained && !was && shed > 0 ? shed + 0.15 : onset;
+        double by = more ? better ? 0 : 0.25 : !less ? 0 : shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
         peak = more ? shed : shed == 0 ? 0 : peak;
+        onset = shed == 0 ? 0 : onset;
         if (was != strained || shed != before) {
             levelsDue = true;
             log("strained " + strained + " shed " + shed);
@@ -1009,8 +1014,8 @@
             double level = level(i);
             Order.SetLevel same = levels.get(retry + " " + level);
             int groups = (same == null ? 0 : same.groups()) | 1 << i;
-            Order.SetLevel order = new Order.SetLevel(Order.ALL_TABLES, groups, level, retry);
-            levels.put(retry + " " + level, order);
+            levels.put(retry + " " + level,
+                    new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
         }
         out.addAll(levels.values());
         return levels.size();
