--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -443,13 +443,13 @@
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
-        // A quarter of a group at a time, held while things get better, as sums show a step late. Given back
+        // Half a group at first, then a quarter a round, held while things get better, as sums show a step late. Given back
         // quickly down to 0.6 of the peak or a little above where strain set in again, then slowly, as the
         // load that brought it may still be there.
         boolean better = usualShare + late < 0.9 * lastStrain;
         lastStrain = usualShare + late;
         onset = strained && !was && shed > 0 ? shed + 0.15 : onset;
-        double by = more ? better ? 0 : 0.25 : !less ? 0 : shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
+        double by = more ? better ? 0 : was ? 0.25 : 0.5 : !less ? 0 : shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
         peak = more ? shed : shed == 0 ? 0 : peak;
         onset = shed == 0 ? 0 : onset;
@@ -1004,8 +1004,8 @@
     }
 
     /**
-     * States the way of trying again, on proof that the first never ran: a repeat can then neither take effect
-     * twice nor double the work of servers that are late already, which is how overload turns into collapse.
+     * States the way of trying again, on proof that the first never ran: a repeat then can't take effect
+     * twice, nor double the work of servers that are late already, which is how overload turns into collapse.
      */
     private int setLevels() {
         TreeMap<String, Order.SetLevel> levels = new TreeMap<>();
