--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -443,13 +443,14 @@
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
         int spare = set.groups().size() - 1;
-        // Half a group at first, then a quarter a round, held while things get better, as sums show a step late. Given back
-        // quickly down to 0.6 of the peak or a little above where strain set in again, then slowly, as the
+        // Half a group at first, then a quarter a round, held while things get better, as sums show a step
+        // late. Given back quickly down to 0.6 of the peak or a little above where strain set in again, then slowly, as the
         // load that brought it may still be there.
         boolean better = usualShare + late < 0.9 * lastStrain;
         lastStrain = usualShare + late;
         onset = strained && !was && shed > 0 ? shed + 0.15 : onset;
-        double by = more ? better ? 0 : was ? 0.25 : 0.5 : !less ? 0 : shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
+        double back = shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
+        double by = more ? better ? 0 : was ? 0.25 : 0.5 : less ? back : 0;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
         peak = more ? shed : shed == 0 ? 0 : peak;
         onset = shed == 0 ? 0 : onset;
@@ -721,14 +722,14 @@
                 * servers.values().stream().filter(Server::usable).count();
         List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id))
                 .map(servers::get).toList();
-        if (part / lines.size() > 0.7 && lines.size() < 4) {
+        if (part / lines.size() > 0.5 && lines.size() < 4) {
             Server target = leastLoaded(slice, null, false);
             if (target != null && fits(target, slice)) {
                 slice.want.put(target.id, top(slice));
                 slice.changedAt = now;
                 moved(slice, null, target);
             }
-        } else if (lines.size() > 1 && part / (lines.size() - 1) < 0.4) {
+        } else if (lines.size() > 1 && part / (lines.size() - 1) < 0.3) {
             slice.want.remove(lines.stream().max(Comparator.comparingDouble(v -> v.score)).orElseThrow().id);
             slice.changedAt = now;
         }
