--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -153,18 +153,19 @@
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
     private final ArrayDeque<Long> turnTimes = new ArrayDeque<>();
     private boolean levelsDue = true;
-    private boolean started, dirty, masksDue, unmasksDue, newSums, newRound;
+    private boolean dirty, masksDue, unmasksDue, newSums, newRound;
     private int mark;
-    private long tickAt, cycleAt;
+    private long tickAt = Long.MIN_VALUE, cycleAt = Long.MIN_VALUE;
     private long lastTurn = Long.MIN_VALUE / 2, roundAt = lastTurn;
     private int rounds;
-    private long followAt = Long.MAX_VALUE;
+    private long followAt;
     private long followBackoffNs;
     private long robin;
 
     public Logic(Settings settings, long seed) {
         this.set = settings;
         this.seed = seed;
+        followAt = settings.listOnRequest() ? Long.MIN_VALUE : Long.MAX_VALUE;
         slices = new Slice[Math.max(0, settings.slices())];
         for (int i = 0; i < slices.length; i++) {
             slices[i] = new Slice(i);
@@ -186,12 +187,6 @@
     public List<Order> handle(long nowNs, List<Event> events) {
         now = nowNs;
         out = new ArrayList<>();
-        if (!started) {
-            started = true;
-            tickAt = now;
-            cycleAt = now;
-            followAt = set.listOnRequest() ? now : Long.MAX_VALUE;
-        }
         events.forEach(this::learn);
         if (newSums) {
             judge();
@@ -409,10 +404,11 @@
         // would push the rest over. Not more than a third may be masked as ill at a time.
         long ready = servers.values().stream().filter(s -> s.ready).count();
         long ill = servers.values().stream().filter(s -> s.ready && s.state == State.ILL).count();
+        long warm = servers.values().stream().filter(s -> s.ready && warmth(s) >= 1).count();
         boolean doubt = bad.size() + ill > ready * 0.4;
         for (Server server : bad) {
             boolean awful = server.dropped / server.tries > 0.6;
-            if (warmth(server) < 1 || !doubt && ill < ready / 3) {
+            if (warmth(server) < 1 || !doubt && ill < ready / 3 && 2 * ill < warm) {
                 step(server, awful ? Input.AWFUL : Input.BAD);
                 ill += server.state == State.ILL ? 1 : 0;
             }
@@ -444,8 +440,8 @@
         double before = shed;
         int spare = set.groups().size() - 1;
         // Half a group at first, then a quarter a round, held while things get better, as sums show a step
-        // late. Given back quickly down to 0.6 of the peak or a little above where strain set in again, then slowly, as the
-        // load that brought it may still be there.
+        // late. Given back quickly down to 0.6 of the peak or a little above where strain set in again, then
+        // slowly, as the load that brought it may still be there.
         boolean better = usualShare + late < 0.9 * lastStrain;
         lastStrain = usualShare + late;
         onset = strained && !was && shed > 0 ? shed + 0.15 : onset;
@@ -608,11 +604,12 @@
 
     /**
      * A cold server's part of what the warm carry. When the fleet is sent a multiple of the most it bore
-     * calmly, its part shrinks, so that it stays under half of what would make it fall over.
+     * calmly, its part shrinks, so that it stays under a third of what would make it fall over, as keys
+     * that it hasn't met cost it more and its speed may be below the listed size.
      */
     private double coldPart() {
         double multiple = calmLoad <= 0 ? 1 : fleetDemand / fleetSize / calmLoad;
-        return Math.min(1, set.fallMultiple() / 2 / Math.max(1, multiple));
+        return Math.min(1, set.fallMultiple() / 3 / Math.max(1, multiple));
     }
 
     /** Guards cold servers: one that carries more than its part, however that came, loses slices at once. */
@@ -662,10 +659,14 @@
     private static final double SPARE = 0.03;
 
     private void mendAll() {
-        if (servers.values().stream().noneMatch(Server::usable)) {
-            // Nothing left to pick: what is listed ready must serve, ill or cold.
-            servers.values().stream().filter(v -> v.ready).forEach(v -> step(v, Input.NEEDED));
-        }
+        // Nothing left to pick: what is listed ready must serve, ill or cold. And where most warm servers are
+        // masked as ill, cold ones would get it all and be pushed over, so the ill serve.
+        boolean none = servers.values().stream().noneMatch(Server::usable);
+        List<Server> warm = servers.values().stream().filter(v -> v.ready && warmth(v) >= 1).toList();
+        long ill = warm.stream().filter(v -> v.state == State.ILL).count();
+        List<Server> needed = ill > warm.size() / 2 ? warm : List.of();
+        (none ? servers.values() : needed).stream().filter(v -> none && v.ready || v.state == State.ILL)
+                .toList().forEach(v -> step(v, Input.NEEDED));
         Arrays.stream(slices).filter(v -> v.mine).forEach(this::mend);
     }
 
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -116,6 +116,24 @@
         assertTrue(host.masks.isEmpty());
     }
 
+    @Test
+    void whereMostWarmServersAreIllTheyServeBeforeColdOnesArePushedOver() {
+        FakeHost host = FakeHost.of(9, 18);
+        rounds(host, 9, 4);
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 9; i++) {
+                host.sums("s" + i, 20, i < 3 ? 10 : 0, i < 3 ? 0.1 : 0.5);
+            }
+            host.run(1);
+        }
+        assertEquals(3, host.masks.size());
+        for (int i = 3; i < 7; i++) {
+            host.list("s" + i, Listed.GONE, 0);
+        }
+        host.run(1);
+        assertTrue(host.masks.stream().noneMatch(s -> s.compareTo("s3") < 0), "masked " + host.masks);
+    }
+
     @Test
     void moreThanItsPartExplainsDropsAndIsNoIllness() {
         FakeHost host = FakeHost.of(6, 24);
