--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -604,12 +604,12 @@
 
     /**
      * A cold server's part of what the warm carry. When the fleet is sent a multiple of the most it bore
-     * calmly, its part shrinks, so that it stays under a third of what would make it fall over, as keys
+     * calmly, its part shrinks, so that it stays under 0.4 of what would make it fall over, as keys
      * that it hasn't met cost it more and its speed may be below the listed size.
      */
     private double coldPart() {
         double multiple = calmLoad <= 0 ? 1 : fleetDemand / fleetSize / calmLoad;
-        return Math.min(1, set.fallMultiple() / 3 / Math.max(1, multiple));
+        return Math.min(1, set.fallMultiple() / 2.5 / Math.max(1, multiple));
     }
 
     /** Guards cold servers: one that carries more than its part, however that came, loses slices at once. */
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -290,6 +290,23 @@
         assertTrue(host.turns.size() <= 12, "turns " + host.turns.size());
     }
 
+    @Test
+    void aCoordinatorThatStartsAgainLeavesWhatStandsUntilSumsHaveCome() {
+        FakeHost host = new FakeHost(FakeHost.settings(12, false, 0));
+        host.begin(4, 12);
+        for (int slice = 0; slice < 12; slice++) {
+            host.give(slice, "s0");
+        }
+        for (int round = 0; round < 2; round++) {
+            host.sums("s0", 20, 8, 1);
+            host.sums("s1", 20, 0, 0.1);
+            host.sums("s2", 20, 0, 0.1);
+            host.sums("s3", 20, 0, 0.1);
+            host.run(1);
+        }
+        host.tables.values().forEach(table -> assertEquals(1.0, table.get("s0")));
+    }
+
     @Test
     void strangersAndLateNewsHarmNothing() {
         FakeHost host = FakeHost.of(4, 8);
