--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -823,7 +823,7 @@
         while (!moveTimes.isEmpty() && now - moveTimes.peekFirst() > 60 * SECOND) {
             moveTimes.pollFirst();
         }
-        if (deviation <= 0.2 * mean || moveTimes.size() >= 6) {
+        if (deviation <= 0.3 * mean || moveTimes.size() >= 6) {
             return;
         }
         Slice lightest = null;
