--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -1012,7 +1012,7 @@
     private int setLevels() {
         TreeMap<String, Order.SetLevel> levels = new TreeMap<>();
         for (int i = 0; i < set.groups().size(); i++) {
-            Retry retry = Retry.ON_PROOF;
+            Retry retry = strained ? Retry.NEVER : Retry.ON_PROOF;
             double level = level(i);
             Order.SetLevel same = levels.get(retry + " " + level);
             int groups = (same == null ? 0 : same.groups()) | 1 << i;
