--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -139,7 +139,7 @@
     }
 
     /** A round of messages on its way: the proxies that have not said it is in force, and its lines each. */
-    private record Turn(int mark, double linesEach, TreeSet<Integer> waiting) {}
+    private record Turn(int mark, long sentAt, double linesEach, TreeSet<Integer> waiting) {}
 
     private final Settings set;
     private final long seed;
@@ -327,12 +327,9 @@
 
     /** A proxy has all up to this mark; one that left (-1) is waited for no more. */
     private void acknowledged(int proxy, int upTo) {
-        boolean known = upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo);
-        for (Turn turn : known ? turns : new ArrayDeque<Turn>()) {
-            turn.waiting.remove(proxy);
-            if (turn.mark == upTo) {
-                break;
-            }
+        if (upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo)) {
+            turns.stream().takeWhile(t -> t.mark != upTo).forEach(t -> t.waiting.remove(proxy));
+            turns.stream().filter(t -> t.mark == upTo).forEach(t -> t.waiting.remove(proxy));
         }
         turns.removeIf(t -> t.waiting.isEmpty());
     }
@@ -892,89 +889,93 @@
         return Arrays.stream(slices).noneMatch(v -> v.mine && v.sent.containsKey(id));
     }
 
-    private boolean rescue(Slice slice) {
-        return slice.sent.isEmpty() || slice.sent.keySet().stream().anyMatch(id -> servers.get(id).masked());
+    /** 0: nothing open to pick once what must be masked is; 1: the full line is masked; 2: it can wait. */
+    private int urgency(Slice slice) {
+        double top = slice.sent.values().stream().max(Double::compare).orElse(0.0);
+        boolean bare = true;
+        boolean headless = false;
+        for (Map.Entry<String, Double> line : slice.sent.entrySet()) {
+            boolean masked = servers.get(line.getKey()).masked();
+            bare &= masked;
+            headless |= masked && line.getValue() > top / 2;
+        }
+        return bare ? 0 : headless ? 1 : 2;
     }
 
     private void push() {
         List<Slice> due = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent))
-                .sorted(Comparator.comparing((Slice v) -> !rescue(v)).thenComparing(v -> v.changedAt)
+                .sorted(Comparator.comparing(this::urgency).thenComparing(v -> v.changedAt)
                         .thenComparing(v -> v.number)).toList();
-        TreeSet<String> masks = servers.values().stream().filter(v -> v.masked() && !noLineOn(v.id))
-                .map(v -> v.id).collect(Collectors.toCollection(TreeSet::new));
-        TreeSet<String> lifted = new TreeSet<>(maskSent);
+        List<Server> masks = servers.values().stream().filter(v -> v.masked()
+                && (masksDue || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
+        TreeSet<String> lifted = new TreeSet<>(unmasksDue ? servers.keySet() : maskSent);
         lifted.removeIf(id -> servers.get(id).masked());
-        boolean newMask = !maskSent.containsAll(masks);
-        boolean urgent = newMask || due.stream().anyMatch(this::rescue) || masksDue && !masks.isEmpty();
-        if (joined.isEmpty() || !urgent && due.isEmpty() && lifted.isEmpty() && !levelsDue && !unmasksDue) {
-            return;
-        }
-        if (!mayTurn(urgent)) {
-            dirty |= urgent;
+        // What the rules demand: a server that left, a slice with nothing open. Illness waits for its turn.
+        boolean binding = masks.stream().anyMatch(Server::leaving)
+                || !due.isEmpty() && urgency(due.get(0)) == 0;
+        if (joined.isEmpty() || masks.isEmpty() && due.isEmpty() && lifted.isEmpty() && !levelsDue) {
             return;
         }
+        // Unacknowledged lines count as queued but for a credit of half the usual pace; it is bound, so that
+        // a channel that has just become slow stays under its limit too.
         double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
-        // Under half the queue for the ordinary; what the rules demand may go a little further.
-        double lines = (set.queueLimit() * (urgent ? 0.6 : 0.45) - waiting) / joined.size() - set.head()
-                - 1 - levelLines;
-        if (lines < 1) {
-            dirty |= urgent;
+        long age = turns.isEmpty() ? 0 : now - turns.peekFirst().sentAt;
+        double credit = 0.5 * set.linesPerS() * age / SECOND;
+        waiting = Math.max(0, waiting - Math.min(0.25 * set.queueLimit(), credit));
+        double heads = set.head() + 1 + levelLines;
+        double lines = (set.queueLimit() * (binding ? 0.6 : 0.4) - waiting) / joined.size() - heads;
+        // A turn costs its heads: the ordinary waits until it is worth them, but never for ever.
+        double worth = binding ? 1 : Math.min(masks.size() + lifted.size() + 2 * due.size(), heads);
+        if (!mayTurn(binding) || lines < worth && !turns.isEmpty()) {
+            dirty |= binding;
             return;
         }
-        send(due, masks, lifted, lines);
+        send(due, masks, lifted, lines, binding);
     }
 
-    private boolean mayTurn(boolean urgent) {
-        long gap = urgent ? 100 * MS : 500 * MS;
-        if (now - lastTurn < gap) {
-            return false;
+    private boolean mayTurn(boolean binding) {
+        // Without a limit on messages two ordinary turns a second; with one, half of what it allows.
+        long gap = set.messagesAllowed() > 0 ? 2 * set.messagesSpanNs() / set.messagesAllowed() : 500 * MS;
+        while (!turnTimes.isEmpty() && now - turnTimes.peekFirst() > set.messagesSpanNs()) {
+            turnTimes.pollFirst();
         }
-        if (set.messagesAllowed() > 0) {
-            while (!turnTimes.isEmpty() && now - turnTimes.peekFirst() > set.messagesSpanNs()) {
-                turnTimes.pollFirst();
-            }
-            // A third of the messages is kept for drains and orphans, one for the unforeseen.
-            return turnTimes.size() < (urgent ? set.messagesAllowed() - 1 : set.messagesAllowed() * 2 / 3);
-        }
-        return true;
+        // The other half is kept for drains and orphans, a tenth for the unforeseen.
+        return now - lastTurn >= (binding ? 200 * MS : gap) && (set.messagesAllowed() == 0
+                || turnTimes.size() < set.messagesAllowed() * (binding ? 0.9 : 0.5));
     }
 
     private int levelLines;
 
-    private void send(List<Slice> due, TreeSet<String> masks, TreeSet<String> lifted, double lines) {
-        double used = 0;
+    private void send(List<Slice> due, List<Server> masks, TreeSet<String> lifted, double lines,
+            boolean binding) {
+        double used = masks.size() + (binding ? 0 : lifted.size());
         int before = out.size();
         if (levelsDue) {
             levelsDue = false;
             levelLines = setLevels();
         }
         for (Slice slice : due) {
-            if (used >= lines) {
+            if (used >= lines && (used > 0 || lines < 0)) {
                 break;
             }
             used += sendSlice(slice);
         }
         // A mask goes only after every slice has another line to pick.
-        for (String id : masks) {
-            if ((masksDue || !maskSent.contains(id)) && !leavesBare(id)) {
-                out.add(new Order.Mask(id, true));
-                maskSent.add(id);
-            }
-        }
-        for (String id : unmasksDue ? new TreeSet<>(servers.keySet()) : lifted) {
-            if (!servers.get(id).masked()) {
-                out.add(new Order.Mask(id, false));
+        for (Server server : masks) {
+            if (!leavesBare(server.id)) {
+                out.add(new Order.Mask(server.id, true));
+                maskSent.add(server.id);
             }
         }
+        lifted.forEach(id -> out.add(new Order.Mask(id, false)));
         maskSent.removeAll(lifted);
-        maskSent.retainAll(servers.keySet());
         masksDue = false;
         unmasksDue = false;
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
             double each = set.head() + out.size() - before + levelLines;
-            turns.addLast(new Turn(mark, each, new TreeSet<>(joined)));
+            turns.addLast(new Turn(mark, now, each, new TreeSet<>(joined)));
             turnTimes.addLast(now);
             lastTurn = now;
         }
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -20,8 +20,9 @@
         String throttle = String.valueOf(domain.get("ThrottleBy"));
         return new Settings("ask".equals(all.get("Discovery")), throttle.equals("per_second"),
                 !throttle.equals("off"), groups, (int) whole(domain, "Ranges"), flag(domain, "SoleOwner"),
-                real(domain, "Backlog"), real(domain, "Overhead"), (int) whole(domain, "PushesAllowed"),
-                whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"), whole(rules, "WarmWithinNs"),
+                real(domain, "Backlog"), real(domain, "EgressPerS"), real(domain, "Overhead"),
+                (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"),
+                whole(rules, "WarmWithinNs"),
                 real(rules, "StartCapacity"), real(rules, "FallMultiple"));
     }
 
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -31,7 +31,7 @@
     }
 
     static Settings settings(int slices, boolean listOnRequest, int messages) {
-        return new Settings(listOnRequest, false, true, GROUPS, slices, false, 4000, 10, messages, 10 * SECOND,
+        return new Settings(listOnRequest, false, true, GROUPS, slices, false, 4000, 4000, 10, messages, 10 * SECOND,
                 SECOND, 16 * SECOND, 0.2, 3);
     }
 
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -290,6 +290,24 @@
         assertTrue(host.turns.size() <= 12, "turns " + host.turns.size());
     }
 
+    @Test
+    void illnessAndReturningProxiesLeaveMessagesForADrain() {
+        FakeHost host = new FakeHost(FakeHost.settings(40, false, 12));
+        host.begin(10, 40);
+        rounds(host, 10, 12);
+        for (int i = 0; i < 16; i++) {
+            for (int j = 0; j < 10; j++) {
+                host.sums("s" + j, 5, j == 3 ? 5 : 0, 0.5);
+            }
+            host.tell(new Event.ProxyJoined(0, true, 1, 0));
+            host.run(0.25);
+        }
+        assertTrue(host.masks.contains("s3"));
+        host.list("s9", Listed.DRAINING, 0);
+        host.run(1);
+        assertTrue(host.masks.contains("s9"), "the drain found its messages used up");
+    }
+
     @Test
     void aCoordinatorThatStartsAgainLeavesWhatStandsUntilSumsHaveCome() {
         FakeHost host = new FakeHost(FakeHost.settings(12, false, 0));
