--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -1,16 +1,7 @@
 package puffinbarrow;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.EnumSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.*;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.zip.CRC32;
@@ -428,10 +419,12 @@
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
         // seconds after the queues grew, so answers that take half the budget on the middle server count too.
+        // Guards against shedding for drops that less traffic can't help (lost answers, connections, errors):
+        // where servers are full their good answers are slow too, a third of the budget at least.
         double late = usualTime
                 / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(SECOND);
-        boolean more = usualShare > 0.1 || late > 0.5;
-        boolean less = usualShare < 0.03 && late < 0.35;
+        boolean more = usualShare > 0.1 && late > 0.3 || late > 0.5;
+        boolean less = (usualShare < 0.03 || late < 0.2) && late < 0.35;
         strained = more || strained && !less;
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -18,6 +18,8 @@
     static final List<Group> GROUPS = List.of(new Group(1, SECOND), new Group(2, SECOND), new Group(3, SECOND));
 
     long now = 100 * SECOND;
+    /** What a good answer takes: a fifth of the latency budget in good times. */
+    long tookNs = SECOND / 5;
     final Logic logic;
     final TreeMap<Integer, TreeMap<String, Double>> tables = new TreeMap<>();
     final TreeSet<String> masks = new TreeSet<>();
@@ -78,7 +80,7 @@
 
     /** A round of sums from one server. */
     void sums(String server, int tries, int dropped, double busy) {
-        tell(new Event.ServerSums(server, 0, SECOND, SECOND / 5, dropped, tries,
+        tell(new Event.ServerSums(server, 0, SECOND, tookNs, dropped, tries,
                 busy < 0 ? Map.of() : Map.of(Event.Measure.BUSY, busy)));
     }
 
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -198,9 +198,23 @@
         assertFalse(host.masks.contains("s2"));
     }
 
+    @Test
+    void answersLostByMostServersAreNoOverloadAndShedNothing() {
+        FakeHost host = FakeHost.of(4, 8);
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < 4; i++) {
+                host.sums("s" + i, 20, i < 3 ? 6 : 0, 0.5);
+            }
+            host.run(1);
+        }
+        assertTrue(host.all(Order.SetLevel.class).stream().allMatch(o -> o.level() == 1));
+        assertTrue(host.masks.isEmpty());
+    }
+
     @Test
     void underStrainNothingIsTriedAgainAndTheCheapestGroupIsShed() {
         FakeHost host = FakeHost.of(4, 8);
+        host.tookNs = SECOND / 2;
         for (int round = 0; round < 3; round++) {
             for (int i = 0; i < 4; i++) {
                 host.sums("s" + i, 20, 6, 1);
@@ -212,6 +226,7 @@
         assertEquals(Order.Retry.NEVER, last.retry());
         assertTrue(last.level() < 1);
         assertTrue(levels.stream().filter(o -> (o.groups() & 4) != 0).allMatch(o -> o.level() == 1));
+        host.tookNs = SECOND / 5;
         rounds(host, 4, 30);
         levels = host.all(Order.SetLevel.class);
         last = levels.stream().filter(o -> (o.groups() & 1) != 0).reduce((a, b) -> b).orElseThrow();
