--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -158,6 +158,7 @@
         host.run(1);
         rounds(host, 5, 11);
         assertTrue(host.tables.values().stream().anyMatch(t -> t.getOrDefault("s0", 0.0) > 0.5));
+        host.tookNs = SECOND / 2;
         for (int round = 0; round < 4; round++) {
             for (int i = 0; i < 5; i++) {
                 host.sums("s" + i, 40, 30, 1);
