--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.*;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.zip.CRC32;
@@ -29,7 +30,7 @@
     /** ILL, OUT and RETURNING are masked; OUT and RETURNING also lose their lines. */
     private enum State { WELL, SUSPECT, ILL, TRIAL, OUT, RETURNING }
 
-    private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, EMPTIED, NEEDED }
+    private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, RELISTED, EMPTIED, NEEDED }
 
     private enum Effect { NONE, HOLD, CLEAR }
 
@@ -46,6 +47,7 @@
             new Row(EnumSet.of(State.ILL), Input.NEEDED, State.TRIAL, Effect.NONE),
             new Row(ANY, Input.LEAVES, State.OUT, Effect.NONE),
             new Row(ANY, Input.RESTARTS, State.RETURNING, Effect.NONE),
+            new Row(EnumSet.of(State.OUT), Input.RELISTED, State.WELL, Effect.CLEAR),
             new Row(EnumSet.of(State.RETURNING), Input.EMPTIED, State.WELL, Effect.CLEAR),
             new Row(EnumSet.of(State.RETURNING), Input.NEEDED, State.WELL, Effect.CLEAR));
 
@@ -80,6 +82,8 @@
         double size = 1;
         long started;
         boolean ready;
+        /** 0: listed. Else the list has dropped it, though it may live: 1 and the probes it has missed. */
+        int unlisted;
         State state = State.OUT;
         long holdNs;
         long holdUntil;
@@ -122,7 +126,8 @@
         final Ring heard = new Ring(8, SECOND);
         double demand;
         long movedAt = Long.MIN_VALUE / 2;
-        long changedAt;
+        /** When the table as sent was last the wanted one. */
+        long settledAt;
 
         Slice(int number) {
             this.number = number;
@@ -202,15 +207,13 @@
         } else if (event instanceof Event.ServerSums e) {
             learnSums(e);
         } else if (event instanceof Event.SliceDemand e) {
-            if (e.slice() >= 0 && e.slice() < slices.length) {
-                slices[e.slice()].heard.add(now, e.flows());
-            }
+            slice(e.slice()).heard.add(now, e.flows());
         } else if (event instanceof Event.SliceCharge e) {
             learnCharge(e);
         } else if (event instanceof Event.StoredLine e) {
-            if (e.slice() >= 0 && e.slice() < slices.length && e.weight() > 0) {
-                slices[e.slice()].want.put(e.server(), e.weight());
-                slices[e.slice()].sent.put(e.server(), e.weight());
+            if (e.weight() > 0) {
+                slice(e.slice()).want.put(e.server(), e.weight());
+                slice(e.slice()).sent.put(e.server(), e.weight());
                 servers.computeIfAbsent(e.server(), Server::new);
             }
         } else if (event instanceof Event.ProxyJoined e) {
@@ -222,11 +225,18 @@
         } else if (event instanceof Event.ProxyLeft e) {
             joined.remove(e.proxy());
             acknowledged(e.proxy(), -1);
+        } else if (event instanceof Event.Probed e) {
+            learnProbe(e);
         } else if (event instanceof Event.InForce e) {
             acknowledged(e.proxy(), e.mark());
         }
     }
 
+    /** The slice of that number; one that isn't known gets a blank that is thrown away. */
+    private Slice slice(int number) {
+        return number >= 0 && number < slices.length ? slices[number] : new Slice(number);
+    }
+
     private void learnList(Event.ServerList list) {
         if (list.kind() == Event.ListKind.BROKEN) {
             // Back off up to a few seconds, spread by chance, so that a struggling list is not hammered.
@@ -241,10 +251,7 @@
         list.entries().forEach(this::learnEntry);
         if (list.kind() != Event.ListKind.PATCH) {
             Set<String> named = list.entries().stream().map(Event.Entry::server).collect(Collectors.toSet());
-            for (Server server : servers.values().stream().filter(v -> !named.contains(v.id)).toList()) {
-                server.ready = false;
-                step(server, Input.LEAVES);
-            }
+            servers.values().stream().filter(v -> !named.contains(v.id)).forEach(this::dropped);
         }
         dirty = true;
     }
@@ -252,19 +259,61 @@
     private void learnEntry(Event.Entry entry) {
         boolean known = servers.containsKey(entry.server());
         Server server = servers.computeIfAbsent(entry.server(), Server::new);
-        boolean wasReady = server.ready;
         long formerStart = server.started;
-        server.ready = entry.listed() == Listed.READY;
-        if (!server.ready) {
-            step(server, Input.LEAVES);
+        if (entry.listed() == Listed.GONE) {
+            dropped(server);
+            return;
+        } else if (entry.listed() == Listed.DRAINING) {
+            leave(server);
             return;
         }
+        server.ready = true;
+        server.unlisted = 0;
         server.size = entry.size() > 0 ? entry.size() : 1;
         server.started = entry.startedNs();
         if (!known) {
             server.state = State.WELL;
-        } else if (!wasReady || formerStart != server.started) {
+        } else if (formerStart != server.started) {
             step(server, Input.RESTARTS);
+        } else {
+            // Listed again with the start it had: it was never down, so it is as warm as it was.
+            step(server, Input.RELISTED);
+        }
+    }
+
+    private void leave(Server server) {
+        server.ready = false;
+        step(server, Input.LEAVES);
+    }
+
+    /**
+     * Guards against a list that calls living servers gone, where the rules let such a server stay in tables:
+     * it stays until it misses two probes (one may fall into a pause), or without probes until it looks ill.
+     * Should it have died, flows fail there for the probes' time, or for a round or two of sums.
+     */
+    private void dropped(Server server) {
+        if (!set.droppedStayOpen() || !server.ready) {
+            leave(server);
+        } else if (server.unlisted == 0) {
+            server.unlisted = 1;
+            probe(server);
+        }
+    }
+
+    private void probe(Server server) {
+        if (set.probes()) {
+            out.add(new Order.Probe(server.id));
+        }
+    }
+
+    private void learnProbe(Event.Probed probed) {
+        Server server = servers.get(probed.server());
+        if (server == null || server.unlisted == 0 || probed.answered()) {
+            return;
+        } else if (++server.unlisted > 2) {
+            leave(server);
+        } else {
+            probe(server);
         }
     }
 
@@ -304,10 +353,7 @@
     }
 
     private void learnCharge(Event.SliceCharge charge) {
-        if (charge.slice() < 0 || charge.slice() >= slices.length) {
-            return;
-        }
-        Slice slice = slices[charge.slice()];
+        Slice slice = slice(charge.slice());
         slice.mine = charge.given();
         slice.want.clear();
         slice.sent.clear();
@@ -374,18 +420,16 @@
             // Slow counts only where it hurts: against the latency budget, not just the middle server.
             double late = delivered < 3 ? 0 : server.tookNs / delivered / shortest;
             server.pressed = share > 0.15 + usualShare && server.dropped > 1 || slowness > 2 && late > 0.4;
-            if (share > 0.3 + usualShare || slowness > 3 && late > 0.8) {
-                if (explained) {
-                    server.forgetRound();
-                } else {
-                    bad.add(server);
-                }
-            } else if (share < 0.1 + usualShare && slowness < 2 && server.tries >= 6) {
-                step(server, Input.GOOD);
-                server.forgetRound();
-            } else if (server.state != State.TRIAL) {
+            boolean worse = share > 0.3 + usualShare || slowness > 3 && late > 0.8;
+            boolean good = !worse && share < 0.1 + usualShare && slowness < 2 && server.tries >= 6;
+            if (worse && !explained) {
+                bad.add(server);
+            } else if (worse || good || server.state != State.TRIAL) {
                 server.forgetRound();
             }
+            if (good) {
+                step(server, Input.GOOD);
+            }
         }
         strain(usualShare, usualTime);
         // Guards against a bad view: where most look ill it is the view, the load or ourselves, and masking
@@ -398,6 +442,9 @@
             boolean awful = server.dropped / server.tries > 0.6;
             if (warmth(server) < 1 || !doubt && ill < ready / 3 && 2 * ill < warm) {
                 step(server, awful ? Input.AWFUL : Input.BAD);
+                if (server.state == State.ILL && server.unlisted > 0) {
+                    leave(server);
+                }
                 ill += server.state == State.ILL ? 1 : 0;
             }
             server.forgetRound();
@@ -407,7 +454,7 @@
     // ---- Strain: the whole fleet drops flows, so there is more than it can do.
 
     private boolean strained;
-    private double shed, peak, onset, lastStrain;
+    private double shed, lastStrain;
 
     /**
      * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
@@ -430,16 +477,11 @@
         double before = shed;
         int spare = set.groups().size() - 1;
         // Half a group at first, then a quarter a round, held while things get better, as sums show a step
-        // late. Given back quickly down to 0.6 of the peak or a little above where strain set in again, then
-        // slowly, as the load that brought it may still be there.
+        // late. Given back slowly, as the load that brought it may still be there.
         boolean better = usualShare + late < 0.9 * lastStrain;
         lastStrain = usualShare + late;
-        onset = strained && !was && shed > 0 ? shed + 0.15 : onset;
-        double back = shed > Math.max(0.6 * peak, onset) ? -0.15 : -0.03;
-        double by = more ? better ? 0 : was ? 0.25 : 0.5 : less ? back : 0;
+        double by = more ? better ? 0 : was ? 0.25 : 0.5 : less ? -0.1 : 0;
         shed = Math.max(0, Math.min(0.8 * spare, shed + by));
-        peak = more ? shed : shed == 0 ? 0 : peak;
-        onset = shed == 0 ? 0 : onset;
         if (was != strained || shed != before) {
             levelsDue = true;
             log("strained " + strained + " shed " + shed);
@@ -633,20 +675,17 @@
             return null;
         }
         // A spare is chosen as if a third of what it stands by for had come, so that spares spread.
-        double least = fit.stream().mapToDouble(v -> rank(v, spare)).min().orElse(0);
-        double bound = least + 0.1 * Math.abs(least);
-        fit.removeIf(s -> rank(s, spare) > bound);
+        ToDoubleFunction<Server> rank = v -> v.score + (spare ? 0.3 * relative(v, v.spareDemand) : 0);
+        double least = fit.stream().mapToDouble(rank).min().orElse(0);
+        fit.removeIf(v -> rank.applyAsDouble(v) > least + 0.1 * Math.abs(least));
         return fit.get((int) Math.floorMod(robin++, (long) fit.size()));
     }
 
-    private double rank(Server server, boolean spare) {
-        return server.score + (spare ? 0.3 * relative(server, server.spareDemand) : 0);
-    }
-
     // ---- Mending: every slice keeps a full line and a line to fall back on.
 
     /** A spare's part: enough to keep a connection and some keys warm, too little to cost anything. */
     private static final double SPARE = 0.03;
+    private static final Comparator<Server> BY_SCORE = Comparator.comparingDouble(v -> v.score);
 
     private void mendAll() {
         // Nothing left to pick: what is listed ready must serve, ill or cold. And where most warm servers are
@@ -661,34 +700,21 @@
     }
 
     private void mend(Slice slice) {
-        String source = null;
-        TreeMap<String, Double> before = new TreeMap<>(slice.want);
         double top = top(slice);
         boolean bareSoon = slice.want.keySet().stream().allMatch(id -> servers.get(id).leaving());
         if (bareSoon && servers.values().stream().noneMatch(Server::usable)) {
             return;
         }
-        for (Map.Entry<String, Double> line : before.entrySet()) {
-            if (servers.get(line.getKey()).leaving()) {
-                source = line.getValue() > top / 2 ? line.getKey() : source;
-                slice.want.remove(line.getKey());
-            }
-        }
-        boolean carried = false;
-        Server spare = null;
-        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
-            Server server = servers.get(line.getKey());
-            if (!server.masked()) {
-                carried |= line.getValue() > top / 2;
-                spare = spare == null || server.score < spare.score ? server : spare;
-            }
-        }
+        slice.want.keySet().removeIf(id -> servers.get(id).leaving());
+        List<Server> open = slice.want.keySet().stream().map(servers::get).filter(v -> !v.masked()).toList();
+        boolean carried = open.stream().anyMatch(v -> slice.want.get(v.id) > top / 2);
+        Server spare = open.stream().min(BY_SCORE).orElse(null);
         if (!carried) {
             // Orphan. The spare was the least-loaded server when it was chosen and has carried the slice
             // since the mask; it keeps it unless it is now above the mean.
             boolean keep = spare != null && fits(spare, slice)
                     && spare.score <= meanScore() + sliceLoad(slice, spare);
-            Server target = keep ? spare : leastLoaded(slice, source, false);
+            Server target = keep ? spare : leastLoaded(slice, null, false);
             target = target == null ? spare : target;
             if (target != null) {
                 slice.want.replaceAll((id, weight) -> SPARE);
@@ -699,9 +725,6 @@
         if (!set.soleOwner()) {
             mendSpares(slice);
         }
-        if (!before.equals(slice.want)) {
-            slice.changedAt = now;
-        }
     }
 
     /**
@@ -717,34 +740,24 @@
             Server target = leastLoaded(slice, null, false);
             if (target != null && fits(target, slice)) {
                 slice.want.put(target.id, top(slice));
-                slice.changedAt = now;
                 moved(slice, null, target);
             }
         } else if (lines.size() > 1 && part / (lines.size() - 1) < 0.3) {
-            slice.want.remove(lines.stream().max(Comparator.comparingDouble(v -> v.score)).orElseThrow().id);
-            slice.changedAt = now;
+            slice.want.remove(lines.stream().max(BY_SCORE).orElseThrow().id);
         }
     }
 
     private void mendSpares(Slice slice) {
-        int usable = 0;
-        Server worst = null;
-        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
-            Server server = servers.get(line.getKey());
-            usable += server.masked() ? 0 : 1;
-            if (!full(slice, line.getKey()) && server.state == State.WELL
-                    && (worst == null || server.score > worst.score)) {
-                worst = server;
-            }
-        }
+        long usable = slice.want.keySet().stream().filter(id -> !servers.get(id).masked()).count();
         if (usable < 2) {
             Server spare = leastLoaded(slice, null, true);
             if (spare != null) {
                 slice.want.put(spare.id, SPARE * top(slice));
                 spare.spareDemand += slice.demand;
             }
-        } else if (usable > 2 && worst != null) {
-            slice.want.remove(worst.id);
+        } else if (usable > 2) {
+            slice.want.keySet().stream().filter(id -> !full(slice, id)).map(servers::get)
+                    .filter(v -> v.state == State.WELL).max(BY_SCORE).ifPresent(v -> slice.want.remove(v.id));
         }
     }
 
@@ -780,7 +793,7 @@
 
     /** A fresh server, or one back from illness, gains a slice a cycle from the most loaded. */
     private void gain(Server target, List<Server> usable) {
-        Server source = usable.stream().max(Comparator.comparingDouble(s -> s.score)).orElseThrow();
+        Server source = usable.stream().max(BY_SCORE).orElseThrow();
         movable(source).stream().filter(v -> fits(target, v) && helps(v, source, target))
                 .max(Comparator.comparingDouble(v -> v.demand)).ifPresent(v -> shift(v, source, target));
     }
@@ -850,7 +863,6 @@
     private void shift(Slice slice, Server from, Server to) {
         slice.want.put(to.id, Math.max(1, top(slice)));
         slice.want.remove(from.id);
-        slice.changedAt = now;
         moved(slice, from, to);
         log("move " + slice.number + " " + from.id + " -> " + to.id);
     }
@@ -896,8 +908,9 @@
     }
 
     private void push() {
+        Arrays.stream(slices).filter(v -> v.want.equals(v.sent)).forEach(v -> v.settledAt = now);
         List<Slice> due = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent))
-                .sorted(Comparator.comparing(this::urgency).thenComparing(v -> v.changedAt)
+                .sorted(Comparator.comparing(this::urgency).thenComparing(v -> v.settledAt)
                         .thenComparing(v -> v.number)).toList();
         List<Server> masks = servers.values().stream().filter(v -> v.masked()
                 && (masksDue || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
@@ -1004,16 +1017,12 @@
      * twice, nor double the work of servers that are late already, which is how overload turns into collapse.
      */
     private int setLevels() {
-        TreeMap<String, Order.SetLevel> levels = new TreeMap<>();
+        TreeMap<Double, Integer> levels = new TreeMap<>();
         for (int i = 0; i < set.groups().size(); i++) {
-            Retry retry = strained ? Retry.NEVER : Retry.ON_PROOF;
-            double level = level(i);
-            Order.SetLevel same = levels.get(retry + " " + level);
-            int groups = (same == null ? 0 : same.groups()) | 1 << i;
-            levels.put(retry + " " + level,
-                    new Order.SetLevel(Order.ALL_TABLES, groups, level, retry));
-        }
-        out.addAll(levels.values());
+            levels.merge(level(i), 1 << i, Integer::sum);
+        }
+        levels.forEach((level, groups) -> out.add(new Order.SetLevel(Order.ALL_TABLES, groups, level,
+                strained ? Retry.NEVER : Retry.ON_PROOF)));
         return levels.size();
     }
 }
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -23,7 +23,8 @@
                 real(domain, "Backlog"), real(domain, "EgressPerS"), real(domain, "Overhead"),
                 (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"),
                 whole(rules, "WarmWithinNs"),
-                real(rules, "StartCapacity"), real(rules, "FallMultiple"));
+                real(rules, "StartCapacity"), real(rules, "FallMultiple"),
+                flag(map(all.get("Ceilings"), "Ceilings"), "Probes"), flag(rules, "DroppedStayOpen"));
     }
 
     private static Settings.Group group(Map<?, ?> each) {
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -199,6 +199,27 @@
         assertFalse(host.masks.contains("s2"));
     }
 
+    @Test
+    void aServerThatTheListDropsStaysWhileItAnswersProbesAndIsNotColdWhenListedAgain() {
+        FakeHost host = new FakeHost(FakeHost.settings(12, false, 0, true));
+        host.begin(6, 12);
+        rounds(host, 6, 4);
+        for (int i = 0; i < 4; i++) {
+            host.list("s" + i, Listed.GONE, 0);
+        }
+        host.run(0.25);
+        assertEquals(4, host.all(Order.Probe.class).size());
+        for (int miss = 0; miss < 2; miss++) {
+            host.tell(new Event.Probed("s0", true, 1, java.util.Map.of()),
+                    new Event.Probed("s1", false, 1, java.util.Map.of()));
+            host.run(0.25);
+        }
+        assertEquals(java.util.Set.of("s1"), host.masks);
+        host.list("s0", Listed.READY, 0);
+        host.run(1);
+        assertEquals("s0", host.open(0).get(0));
+    }
+
     @Test
     void answersLostByMostServersAreNoOverloadAndShedNothing() {
         FakeHost host = FakeHost.of(4, 8);
