--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -146,10 +146,12 @@
     private final Slice[] slices;
     private final TreeSet<Integer> joined = new TreeSet<>();
     private final TreeSet<String> maskSent = new TreeSet<>();
+    /** Servers whose mask, or that they have none, is to be stated again. */
+    private final TreeSet<String> masksDue = new TreeSet<>(), everMasked = new TreeSet<>();
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
     private final ArrayDeque<Long> turnTimes = new ArrayDeque<>();
     private boolean levelsDue = true;
-    private boolean dirty, masksDue, unmasksDue, newSums, newRound;
+    private boolean dirty, newSums, newRound;
     private int mark;
     private long tickAt = Long.MIN_VALUE, cycleAt = Long.MIN_VALUE;
     private long lastTurn = Long.MIN_VALUE / 2, roundAt = lastTurn;
@@ -220,8 +222,8 @@
             joined.add(e.proxy());
             // A proxy that was here before may hold masks of a stream or a life of ours that is forgotten:
             // a stale mask could leave it bare, so all masks are stated again, the lifted ones too.
-            levelsDue = masksDue = dirty = true;
-            unmasksDue |= !e.fresh();
+            levelsDue = dirty = true;
+            masksDue.addAll(e.fresh() ? maskSent : rounds < 3 ? servers.keySet() : everMasked);
         } else if (event instanceof Event.ProxyLeft e) {
             joined.remove(e.proxy());
             acknowledged(e.proxy(), -1);
@@ -358,7 +360,7 @@
         slice.want.clear();
         slice.sent.clear();
         levelsDue |= charge.given();
-        masksDue |= charge.given();
+        masksDue.addAll(maskSent);
         dirty = true;
     }
 
@@ -913,8 +915,9 @@
                 .sorted(Comparator.comparing(this::urgency).thenComparing(v -> v.settledAt)
                         .thenComparing(v -> v.number)).toList();
         List<Server> masks = servers.values().stream().filter(v -> v.masked()
-                && (masksDue || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
-        TreeSet<String> lifted = new TreeSet<>(unmasksDue ? servers.keySet() : maskSent);
+                && (masksDue.contains(v.id) || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
+        TreeSet<String> lifted = new TreeSet<>(maskSent);
+        lifted.addAll(masksDue);
         lifted.removeIf(id -> servers.get(id).masked());
         // What the rules demand: a server that left, a slice with nothing open. Illness waits for its turn.
         boolean binding = masks.stream().anyMatch(Server::leaving)
@@ -936,7 +939,7 @@
             dirty |= binding;
             return;
         }
-        send(due, masks, lifted, lines, binding);
+        send(due, masks, lifted, lines);
     }
 
     private boolean mayTurn(boolean binding) {
@@ -952,31 +955,30 @@
 
     private int levelLines;
 
-    private void send(List<Slice> due, List<Server> masks, TreeSet<String> lifted, double lines,
-            boolean binding) {
-        double used = masks.size() + (binding ? 0 : lifted.size());
+    private void send(List<Slice> due, List<Server> masks, TreeSet<String> lifted, double lines) {
         int before = out.size();
+        double full = before + Math.max(1, lines);
         if (levelsDue) {
             levelsDue = false;
             levelLines = setLevels();
         }
-        for (Slice slice : due) {
-            if (used >= lines && (used > 0 || lines < 0)) {
-                break;
-            }
-            used += sendSlice(slice);
-        }
-        // A mask goes only after every slice has another line to pick.
+        // Guards the grace where much of the fleet goes at once: a line for each slice that would be bare,
+        // then the masks that leave none bare, and only then all else, old lines of masked servers too.
+        due.stream().filter(v -> urgency(v) == 0 && out.size() < full).forEach(this::sendTop);
         for (Server server : masks) {
             if (!leavesBare(server.id)) {
                 out.add(new Order.Mask(server.id, true));
                 maskSent.add(server.id);
+                everMasked.add(server.id);
+                masksDue.remove(server.id);
             }
         }
-        lifted.forEach(id -> out.add(new Order.Mask(id, false)));
-        maskSent.removeAll(lifted);
-        masksDue = false;
-        unmasksDue = false;
+        lifted.stream().filter(id -> out.size() < full).toList().forEach(id -> {
+            out.add(new Order.Mask(id, false));
+            maskSent.remove(id);
+            masksDue.remove(id);
+        });
+        due.stream().filter(v -> out.size() < full).forEach(this::sendSlice);
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
@@ -987,23 +989,24 @@
         }
     }
 
-    private int sendSlice(Slice slice) {
-        int lines = 0;
-        for (Map.Entry<String, Double> line : slice.want.entrySet()) {
-            if (!line.getValue().equals(slice.sent.get(line.getKey()))) {
-                out.add(new Order.SetLine(slice.number, line.getKey(), line.getValue()));
-                lines++;
-            }
-        }
-        for (String id : slice.sent.keySet()) {
-            if (!slice.want.containsKey(id)) {
-                out.add(new Order.SetLine(slice.number, id, 0));
-                lines++;
-            }
+    /** The heaviest of the new lines alone: what a slice needs so as not to be bare. */
+    private void sendTop(Slice slice) {
+        slice.want.entrySet().stream().filter(v -> !servers.get(v.getKey()).masked())
+                .max(Map.Entry.comparingByValue()).ifPresent(v -> sendLine(slice, v.getKey(), v.getValue()));
+    }
+
+    private void sendSlice(Slice slice) {
+        slice.want.forEach((id, weight) -> sendLine(slice, id, weight));
+        List.copyOf(slice.sent.keySet()).stream().filter(id -> !slice.want.containsKey(id))
+                .forEach(id -> sendLine(slice, id, 0));
+    }
+
+    private void sendLine(Slice slice, String id, double weight) {
+        if (weight != slice.sent.getOrDefault(id, 0.0)) {
+            out.add(new Order.SetLine(slice.number, id, weight));
+            slice.sent.put(id, weight);
         }
-        slice.sent.clear();
-        slice.sent.putAll(slice.want);
-        return lines;
+        slice.sent.remove(id, 0.0);
     }
 
     private boolean leavesBare(String id) {
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -316,6 +316,20 @@
         assertTrue(host.masks.contains("s0") && host.masks.contains("s1"));
     }
 
+    @Test
+    void whereMostOfTheFleetGoesAtOnceTheMasksDontWaitForAllTheNewLines() {
+        FakeHost host = FakeHost.of(6, 900);
+        host.run(5);
+        for (int i = 0; i < 4; i++) {
+            host.list("s" + i, Listed.GONE, 0);
+        }
+        host.run(0.25);
+        assertEquals(4, host.masks.size());
+        for (int slice = 0; slice < 900; slice++) {
+            assertFalse(host.open(slice).isEmpty(), "bare " + slice);
+        }
+    }
+
     @Test
     void messagesKeepWithinTheirCount() {
         FakeHost host = new FakeHost(FakeHost.settings(40, false, 12));
