--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -925,16 +925,17 @@
         if (joined.isEmpty() || masks.isEmpty() && due.isEmpty() && lifted.isEmpty() && !levelsDue) {
             return;
         }
-        // Unacknowledged lines count as queued but for a credit of half the usual pace; it is bound, so that
-        // a channel that has just become slow stays under its limit too.
+        // Unacknowledged lines count as queued but for a credit of most of the usual pace, as an answer takes
+        // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.85).
+        double part = binding ? 0.6 : 0.48;
         double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
         long age = turns.isEmpty() ? 0 : now - turns.peekFirst().sentAt;
-        double credit = 0.5 * set.linesPerS() * age / SECOND;
-        waiting = Math.max(0, waiting - Math.min(0.25 * set.queueLimit(), credit));
+        double credit = Math.min((0.85 - part) * set.queueLimit(), 0.8 * set.linesPerS() * age / SECOND);
         double heads = set.head() + 1 + levelLines;
-        double lines = (set.queueLimit() * (binding ? 0.6 : 0.4) - waiting) / joined.size() - heads;
-        // A turn costs its heads: the ordinary waits until it is worth them, but never for ever.
-        double worth = binding ? 1 : Math.min(masks.size() + lifted.size() + 2 * due.size(), heads);
+        double most = set.queueLimit() * part / joined.size() - heads;
+        double lines = most - Math.max(0, waiting - credit) / joined.size();
+        // A turn costs its heads: the ordinary waits until most of a turn has room, but never for ever.
+        double worth = binding ? 1 : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * most);
         if (!mayTurn(binding) || lines < worth && !turns.isEmpty()) {
             dirty |= binding;
             return;
@@ -943,8 +944,8 @@
     }
 
     private boolean mayTurn(boolean binding) {
-        // Without a limit on messages two ordinary turns a second; with one, half of what it allows.
-        long gap = set.messagesAllowed() > 0 ? 2 * set.messagesSpanNs() / set.messagesAllowed() : 500 * MS;
+        // Without a limit on messages four ordinary turns a second; with one, half of what it allows.
+        long gap = set.messagesAllowed() > 0 ? 2 * set.messagesSpanNs() / set.messagesAllowed() : 250 * MS;
         while (!turnTimes.isEmpty() && now - turnTimes.peekFirst() > set.messagesSpanNs()) {
             turnTimes.pollFirst();
         }
