--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -366,10 +366,9 @@
 
     /** A proxy has all up to this mark; one that left (-1) is waited for no more. */
     private void acknowledged(int proxy, int upTo) {
-        if (upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo)) {
-            turns.stream().takeWhile(t -> t.mark != upTo).forEach(t -> t.waiting.remove(proxy));
-            turns.stream().filter(t -> t.mark == upTo).forEach(t -> t.waiting.remove(proxy));
-        }
+        boolean known = upTo < 0 || turns.stream().anyMatch(t -> t.mark == upTo);
+        turns.stream().takeWhile(t -> known && t.mark != upTo).forEach(t -> t.waiting.remove(proxy));
+        turns.stream().filter(t -> t.mark == upTo).forEach(t -> t.waiting.remove(proxy));
         turns.removeIf(t -> t.waiting.isEmpty());
     }
 
@@ -927,10 +926,12 @@
         }
         // Unacknowledged lines count as queued but for a credit of most of the usual pace, as an answer takes
         // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.85).
-        double part = binding ? 0.6 : 0.48;
+        // The ordinary fills no more than goes out in a quarter of the grace: a drain queues behind it.
+        double ahead = set.linesPerS() * set.graceNs() / SECOND / 4 / set.queueLimit();
+        double part = binding ? 0.6 : Math.min(0.48, ahead);
         double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
         long age = turns.isEmpty() ? 0 : now - turns.peekFirst().sentAt;
-        double credit = Math.min((0.85 - part) * set.queueLimit(), 0.8 * set.linesPerS() * age / SECOND);
+        double credit = Math.min((binding ? 0.25 : 0.37) * set.queueLimit(), 0.8 * set.linesPerS() * age / SECOND);
         double heads = set.head() + 1 + levelLines;
         double most = set.queueLimit() * part / joined.size() - heads;
         double lines = most - Math.max(0, waiting - credit) / joined.size();
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -22,7 +22,7 @@
                 !throttle.equals("off"), groups, (int) whole(domain, "Ranges"), flag(domain, "SoleOwner"),
                 real(domain, "Backlog"), real(domain, "EgressPerS"), real(domain, "Overhead"),
                 (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"),
-                whole(rules, "WarmWithinNs"),
+                whole(rules, "StopSendingWithinNs"), whole(rules, "WarmWithinNs"),
                 real(rules, "StartCapacity"), real(rules, "FallMultiple"),
                 flag(map(all.get("Ceilings"), "Ceilings"), "Probes"), flag(rules, "DroppedStayOpen"));
     }
