--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -5,6 +5,7 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import java.util.zip.CRC32;
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
@@ -384,18 +385,10 @@
 
     private void judge() {
         newSums = false;
-        List<Double> shares = new ArrayList<>();
-        List<Double> times = new ArrayList<>();
-        for (Server server : servers.values()) {
-            if (server.ready && server.tries >= 5) {
-                shares.add(server.dropped / server.tries);
-                if (server.tries > server.dropped) {
-                    times.add(server.tookNs / (server.tries - server.dropped));
-                }
-            }
-        }
-        double usualShare = median(shares);
-        double usualTime = median(times);
+        List<Server> heard = servers.values().stream().filter(v -> v.ready && v.tries >= 5).toList();
+        double usualShare = median(heard.stream().map(v -> v.dropped / v.tries));
+        double usualTime = median(heard.stream().filter(v -> v.tries > v.dropped)
+                .map(v -> v.tookNs / (v.tries - v.dropped)));
         double shortest = set.groups().stream().mapToDouble(Settings.Group::budgetNs).min().orElse(SECOND);
         List<Server> bad = new ArrayList<>();
         for (Server server : servers.values()) {
@@ -504,9 +497,9 @@
         return set.groups().get(group).utility() / Math.max(1, set.groups().get(group).budgetNs());
     }
 
-    private static double median(List<Double> values) {
-        values.sort(Comparator.naturalOrder());
-        return values.isEmpty() ? 0 : values.get(values.size() / 2);
+    private static double median(Stream<Double> values) {
+        List<Double> sorted = values.sorted().toList();
+        return sorted.isEmpty() ? 0 : sorted.get(sorted.size() / 2);
     }
 
     // ---- Scores.
@@ -928,20 +921,24 @@
         // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.85).
         // The ordinary fills no more than goes out in a quarter of the grace: a drain queues behind it.
         double ahead = set.linesPerS() * set.graceNs() / SECOND / 4 / set.queueLimit();
-        double part = binding ? 0.6 : Math.min(0.48, ahead);
+        double ordinary = Math.min(0.48, ahead);
+        double part = binding ? 0.6 : ordinary;
         double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
         long age = turns.isEmpty() ? 0 : now - turns.peekFirst().sentAt;
-        double credit = Math.min((binding ? 0.25 : 0.37) * set.queueLimit(), 0.8 * set.linesPerS() * age / SECOND);
+        double known = (binding ? 0.25 : 0.37) * set.queueLimit();
+        double credit = Math.min(known, 0.8 * set.linesPerS() * age / SECOND);
         double heads = set.head() + 1 + levelLines;
         double most = set.queueLimit() * part / joined.size() - heads;
         double lines = most - Math.max(0, waiting - credit) / joined.size();
-        // A turn costs its heads: the ordinary waits until most of a turn has room, but never for ever.
-        double worth = binding ? 1 : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * most);
+        // A turn costs its heads: it waits until most of what it needs has room, but never for ever.
+        long bare = due.stream().filter(v -> urgency(v) == 0).count();
+        double worth = binding ? Math.min(masks.size() + bare, 0.4 * most)
+                : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * most);
         if (!mayTurn(binding) || lines < worth && !turns.isEmpty()) {
             dirty |= binding;
             return;
         }
-        send(due, masks, lifted, lines);
+        send(due, masks, lifted, lines, lines - (part - ordinary) * set.queueLimit() / joined.size());
     }
 
     private boolean mayTurn(boolean binding) {
@@ -957,7 +954,8 @@
 
     private int levelLines;
 
-    private void send(List<Slice> due, List<Server> masks, TreeSet<String> lifted, double lines) {
+    private void send(List<Slice> due, List<Server> masks, TreeSet<String> lifted, double lines,
+            double rest) {
         int before = out.size();
         double full = before + Math.max(1, lines);
         if (levelsDue) {
@@ -975,12 +973,12 @@
                 masksDue.remove(server.id);
             }
         }
-        lifted.stream().filter(id -> out.size() < full).toList().forEach(id -> {
+        lifted.stream().filter(id -> out.size() < before + rest).toList().forEach(id -> {
             out.add(new Order.Mask(id, false));
             maskSent.remove(id);
             masksDue.remove(id);
         });
-        due.stream().filter(v -> out.size() < full).forEach(this::sendSlice);
+        due.stream().filter(v -> out.size() < before + rest || out.size() == before).forEach(this::sendSlice);
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
