--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -61,14 +61,11 @@
                 server.state = row.next;
                 // The first hold outlasts a short trouble and the sums still on the way; it doubles while
                 // trials fail, up to what a rough half minute of trouble needs.
-                switch (row.effect) {
-                    case HOLD -> {
-                        server.holdNs = Math.min(24 * SECOND, Math.max(6 * SECOND, server.holdNs * 2));
-                        server.holdUntil = now + server.holdNs;
-                    }
-                    case CLEAR -> server.holdNs = 0;
-                    default -> { }
+                if (row.effect == Effect.HOLD) {
+                    server.holdNs = Math.min(24 * SECOND, Math.max(6 * SECOND, server.holdNs * 2));
+                    server.holdUntil = now + server.holdNs;
                 }
+                server.holdNs = row.effect == Effect.CLEAR ? 0 : server.holdNs;
                 server.forgetRound();
                 dirty = true;
                 return;
@@ -965,6 +962,14 @@
         // Guards the grace where much of the fleet goes at once: a line for each slice that would be bare,
         // then the masks that leave none bare, and only then all else, old lines of masked servers too.
         due.stream().filter(v -> urgency(v) == 0 && out.size() < full).forEach(this::sendTop);
+        // A mask that stands though its server serves again could hold up the mask of one that left.
+        for (String id : lifted) {
+            if (out.size() < (maskSent.contains(id) ? full : before + rest)) {
+                out.add(new Order.Mask(id, false));
+                maskSent.remove(id);
+                masksDue.remove(id);
+            }
+        }
         for (Server server : masks) {
             if (!leavesBare(server.id)) {
                 out.add(new Order.Mask(server.id, true));
@@ -973,12 +978,8 @@
                 masksDue.remove(server.id);
             }
         }
-        lifted.stream().filter(id -> out.size() < before + rest).toList().forEach(id -> {
-            out.add(new Order.Mask(id, false));
-            maskSent.remove(id);
-            masksDue.remove(id);
-        });
-        due.stream().filter(v -> out.size() < before + rest || out.size() == before).forEach(this::sendSlice);
+        due.stream().filter(v -> out.size() < before + rest || out.size() == before && turns.isEmpty())
+                .forEach(this::sendSlice);
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -338,6 +338,22 @@
         assertTrue(lines > 500 && 2 * lines <= 2000, "two seconds of grace, 4000 lines a second, lines " + lines);
     }
 
+    @Test
+    void aMaskThatIsToBeLiftedHoldsUpNoMaskOfAServerThatLeft() {
+        FakeHost host = FakeHost.of(4, 4000);
+        host.run(9);
+        for (String server : List.of("s0", "s1")) {
+            host.list(server, Listed.DRAINING, 0);
+        }
+        host.run(0.5);
+        host.deaf();
+        host.list("s0", Listed.READY, 0);
+        host.list("s2", Listed.GONE, 0);
+        host.list("s3", Listed.GONE, 0);
+        host.run(1);
+        assertEquals(java.util.Set.of("s1", "s2", "s3"), host.masks);
+    }
+
     @Test
     void messagesKeepWithinTheirCount() {
         FakeHost host = new FakeHost(FakeHost.settings(40, false, 12));
