--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -481,13 +481,11 @@
 
     /** The part of a group let in: least utility for its latency budget (which stands for work) first. */
     private double level(int group) {
-        if (set.levelIsRate()) {
-            return 1e6;
-        }
         long before = IntStream.range(0, set.groups().size())
                 .filter(i -> value(i) < value(group) || value(i) == value(group) && i < group).count();
         boolean most = before == set.groups().size() - 1;
-        return !set.levelsHeeded() || most ? 1 : Math.max(0.2, Math.min(1, 1 - (shed - 0.8 * before)));
+        double part = Math.max(0.2, Math.min(1, 1 - (shed - 0.8 * before)));
+        return set.levelIsRate() ? 1e6 : !set.levelsHeeded() || most ? 1 : part;
     }
 
     private double value(int group) {
@@ -885,17 +883,18 @@
         return Arrays.stream(slices).noneMatch(v -> v.mine && v.sent.containsKey(id));
     }
 
-    /** 0: nothing open to pick once what must be masked is; 1: the full line is masked; 2: it can wait. */
+    /**
+     * 0: nothing is open to pick, or will be once a server that left is masked; 1: the full line's server is
+     * masked, or is to be; 2: one line is open; 3: it can wait. An ill server's mask waits for the slice.
+     */
     private int urgency(Slice slice) {
         double top = slice.sent.values().stream().max(Double::compare).orElse(0.0);
-        boolean bare = true;
-        boolean headless = false;
-        for (Map.Entry<String, Double> line : slice.sent.entrySet()) {
-            boolean masked = servers.get(line.getKey()).masked();
-            bare &= masked;
-            headless |= masked && line.getValue() > top / 2;
-        }
-        return bare ? 0 : headless ? 1 : 2;
+        List<Server> lines = slice.sent.keySet().stream().map(servers::get).toList();
+        boolean held = lines.stream().allMatch(v -> v.leaving() || maskSent.contains(v.id));
+        boolean headless = lines.stream().anyMatch(v -> v.masked() && slice.sent.get(v.id) > top / 2);
+        boolean blocks = lines.stream().anyMatch(v -> v.leaving() && !maskSent.contains(v.id));
+        long open = lines.stream().filter(v -> !v.masked()).count();
+        return open == 0 && (held || blocks) ? 0 : headless ? 1 : open < 2 ? 2 : 3;
     }
 
     private void push() {
@@ -915,14 +914,14 @@
             return;
         }
         // Unacknowledged lines count as queued but for a credit of most of the usual pace, as an answer takes
-        // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.85).
+        // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.9).
         // The ordinary fills no more than goes out in a quarter of the grace: a drain queues behind it.
         double ahead = set.linesPerS() * set.graceNs() / SECOND / 4 / set.queueLimit();
         double ordinary = Math.min(0.48, ahead);
-        double part = binding ? 0.6 : ordinary;
+        double part = binding ? 0.7 : ordinary;
         double waiting = turns.stream().mapToDouble(v -> v.linesEach * v.waiting.size()).sum();
         long age = turns.isEmpty() ? 0 : now - turns.peekFirst().sentAt;
-        double known = (binding ? 0.25 : 0.37) * set.queueLimit();
+        double known = (binding ? 0.2 : 0.37) * set.queueLimit();
         double credit = Math.min(known, 0.8 * set.linesPerS() * age / SECOND);
         double heads = set.head() + 1 + levelLines;
         double most = set.queueLimit() * part / joined.size() - heads;
@@ -979,7 +978,8 @@
             }
         }
         due.stream().filter(v -> out.size() < before + rest || out.size() == before && turns.isEmpty())
-                .forEach(this::sendSlice);
+                .forEach(v -> sendSlice(v, false));
+        due.stream().filter(v -> out.size() < before + rest).forEach(v -> sendSlice(v, true));
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
             out.add(new Order.Mark(mark, false));
@@ -996,10 +996,11 @@
                 .max(Map.Entry.comparingByValue()).ifPresent(v -> sendLine(slice, v.getKey(), v.getValue()));
     }
 
-    private void sendSlice(Slice slice) {
+    /** New lines and old ones; old lines of masked servers cost nothing but their place and go last. */
+    private void sendSlice(Slice slice, boolean all) {
         slice.want.forEach((id, weight) -> sendLine(slice, id, weight));
-        List.copyOf(slice.sent.keySet()).stream().filter(id -> !slice.want.containsKey(id))
-                .forEach(id -> sendLine(slice, id, 0));
+        List.copyOf(slice.sent.keySet()).stream().filter(id -> !slice.want.containsKey(id)
+                && (all || !maskSent.contains(id))).forEach(id -> sendLine(slice, id, 0));
     }
 
     private void sendLine(Slice slice, String id, double weight) {
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -338,6 +338,19 @@
         assertTrue(lines > 500 && 2 * lines <= 2000, "two seconds of grace, 4000 lines a second, lines " + lines);
     }
 
+    @Test
+    void oldLinesOfAMaskedServerGoAfterAllNewOnes() {
+        FakeHost host = FakeHost.of(4, 4000);
+        host.run(9);
+        host.turns.clear();
+        host.list("s0", Listed.GONE, 0);
+        host.run(0.75);
+        assertTrue(host.turns.size() > 1 && host.masks.contains("s0"));
+        for (Order order : host.turns.get(1)) {
+            assertTrue(!(order instanceof Order.SetLine line) || line.weight() > 0, "took room: " + order);
+        }
+    }
+
     @Test
     void aMaskThatIsToBeLiftedHoldsUpNoMaskOfAServerThatLeft() {
         FakeHost host = FakeHost.of(4, 4000);
