--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -85,7 +85,6 @@
         State state = State.OUT;
         long holdNs;
         long holdUntil;
-        /** This round's sums: tries, dropped, and time taken over the delivered ones. */
         double tries, dropped, tookNs;
         boolean pressed;
         double report = Double.NaN;
@@ -132,7 +131,7 @@
         }
     }
 
-    /** A round of messages on its way: the proxies that have not said it is in force, and its lines each. */
+    /** A round of messages: the proxies that have not yet said it is in force, and its lines each. */
     private record Turn(int mark, long sentAt, double linesEach, TreeSet<Integer> waiting) {}
 
     private final Settings set;
@@ -332,6 +331,7 @@
         server.tries += sums.tries();
         server.dropped += sums.dropped();
         server.tookNs += (double) sums.tookNs() * Math.max(0, sums.tries() - sums.dropped());
+        coresKnown |= sums.report().containsKey(Measure.BUSY);
         double report = reported(sums.report(), server.size);
         if (!Double.isNaN(report)) {
             // Half old, half new: a single report is noisy and may be of a moment.
@@ -444,25 +444,25 @@
 
     // ---- Strain: the whole fleet drops flows, so there is more than it can do.
 
-    private boolean strained;
+    private boolean strained, coresKnown;
     private double shed, lastStrain;
 
     /**
      * Guards against the spiral of tries upon tries in real overload, whatever brought it (too much traffic,
      * too few servers, cold caches): while the middle server drops flows, nothing is tried again and groups
-     * of least utility for their work are let in less, step by step. It would harm if drops had a cause
-     * that less traffic can't help, so the view must hold for the middle server, not for a few.
+     * of least utility for their work are let in less, step by step.
      */
     private void strain(double usualShare, double usualTime) {
         boolean was = strained;
         // One in ten is far above errors in good times; one in thirty is about what they show. Time-outs come
         // seconds after the queues grew, so answers that take half the budget on the middle server count too.
-        // Guards against shedding for drops that less traffic can't help (lost answers, connections, errors):
-        // where servers are full their good answers are slow too, a third of the budget at least.
+        // Guards against shedding what less traffic can't help (lost answers, a group slow by itself): where
+        // servers are full their good answers take a third of the budget, and their cores are not half idle.
         double late = usualTime
                 / set.groups().stream().mapToDouble(Settings.Group::budgetNs).average().orElse(SECOND);
-        boolean more = usualShare > 0.1 && late > 0.3 || late > 0.5;
-        boolean less = (usualShare < 0.03 || late < 0.2) && late < 0.35;
+        boolean idle = coresKnown && usualReport < 0.55;
+        boolean more = !idle && (usualShare > 0.1 && late > 0.3 || late > 0.5);
+        boolean less = idle || (usualShare < 0.03 || late < 0.2) && late < 0.35;
         strained = more || strained && !less;
         calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
         double before = shed;
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -233,6 +233,20 @@
         assertTrue(host.masks.isEmpty());
     }
 
+    @Test
+    void slowAnswersOfServersThatAreHalfIdleAreNoOverload() {
+        FakeHost host = FakeHost.of(4, 8);
+        rounds(host, 4, 2);
+        host.tookNs = 3 * SECOND / 4;
+        for (int round = 0; round < 4; round++) {
+            for (int i = 0; i < 4; i++) {
+                host.sums("s" + i, 20, 6, 0.4);
+            }
+            host.run(1);
+        }
+        assertTrue(host.all(Order.SetLevel.class).stream().allMatch(o -> o.level() == 1));
+    }
+
     @Test
     void underStrainNothingIsTriedAgainAndTheCheapestGroupIsShed() {
         FakeHost host = FakeHost.of(4, 8);
