--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -657,8 +657,8 @@
         for (int pass = 0; pass < 3 && fit.isEmpty(); pass++) {
             int at = pass;
             servers.values().stream().filter(v -> v.usable() && !slice.want.containsKey(v.id)
-                    && !v.id.equals(source) && (at > 1 || v.state == State.WELL)
-                    && (at > 0 || (spare ? warmth(v) >= 1 : fits(v, slice)))).forEach(fit::add);
+                    && !v.id.equals(source) && (at > 0 || v.state == State.WELL)
+                    && (spare ? warmth(v) >= 1 : at > 1 || fits(v, slice))).forEach(fit::add);
         }
         if (fit.isEmpty()) {
             return null;
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -233,6 +233,17 @@
         assertTrue(host.masks.isEmpty());
     }
 
+    @Test
+    void aSpareNeverStandsOnAColdServer() {
+        FakeHost host = FakeHost.of(2, 8);
+        host.list("s2", Listed.READY, host.now);
+        host.list("s0", Listed.GONE, 0);
+        host.run(3);
+        for (int slice = 0; slice < 8; slice++) {
+            assertFalse(host.tables.get(slice).getOrDefault("s2", 1.0) < 0.5, "slice " + slice);
+        }
+    }
+
     @Test
     void slowAnswersOfServersThatAreHalfIdleAreNoOverload() {
         FakeHost host = FakeHost.of(4, 8);
