--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -123,7 +123,6 @@
         final Ring heard = new Ring(8, SECOND);
         double demand;
         long movedAt = Long.MIN_VALUE / 2;
-        /** When the table as sent was last the wanted one. */
         long settledAt;
 
         Slice(int number) {
@@ -131,7 +130,6 @@
         }
     }
 
-    /** A round of messages: the proxies that have not yet said it is in force, and its lines each. */
     private record Turn(int mark, long sentAt, double linesEach, TreeSet<Integer> waiting) {}
 
     private final Settings set;
@@ -386,6 +384,12 @@
         double usualShare = median(heard.stream().map(v -> v.dropped / v.tries));
         double usualTime = median(heard.stream().filter(v -> v.tries > v.dropped)
                 .map(v -> v.tookNs / (v.tries - v.dropped)));
+        // Guards cold servers against tries again: where a third of all tries is dropped, those with proof go
+        // on to whoever has room, and push over the next one.
+        double lost = heard.stream().mapToDouble(v -> v.dropped).sum();
+        boolean many = lost > 0.3 * heard.stream().mapToDouble(v -> v.tries).sum();
+        levelsDue |= many != crowded;
+        crowded = many;
         double shortest = set.groups().stream().mapToDouble(Settings.Group::budgetNs).min().orElse(SECOND);
         List<Server> bad = new ArrayList<>();
         for (Server server : servers.values()) {
@@ -444,7 +448,7 @@
 
     // ---- Strain: the whole fleet drops flows, so there is more than it can do.
 
-    private boolean strained, coresKnown;
+    private boolean strained, coresKnown, crowded;
     private double shed, lastStrain;
 
     /**
@@ -523,7 +527,6 @@
         return slice.want.values().stream().max(Double::compare).orElse(0.0);
     }
 
-    /** The demand that one full line of the slice brings. */
     private static double each(Slice slice) {
         return slice.demand / Math.max(1, slice.want.keySet().stream().filter(id -> full(slice, id)).count());
     }
@@ -769,9 +772,6 @@
             return;
         }
         List<Server> usable = servers.values().stream().filter(Server::usable).toList();
-        if (usable.size() < 2) {
-            return;
-        }
         for (Server server : usable) {
             if (server.state == State.WELL && relative(server, server.demand) < 0.5) {
                 gain(server, usable);
@@ -1027,7 +1027,7 @@
             levels.merge(level(i), 1 << i, Integer::sum);
         }
         levels.forEach((level, groups) -> out.add(new Order.SetLevel(Order.ALL_TABLES, groups, level,
-                strained ? Retry.NEVER : Retry.ON_PROOF)));
+                strained || crowded ? Retry.NEVER : Retry.ON_PROOF)));
         return levels.size();
     }
 }
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -233,6 +233,20 @@
         assertTrue(host.masks.isEmpty());
     }
 
+    @Test
+    void whereAThirdOfAllTriesIsDroppedNothingIsTriedAgainThoughTheMiddleServerIsWell() {
+        FakeHost host = FakeHost.of(5, 10);
+        for (int round = 0; round < 2; round++) {
+            for (int i = 0; i < 5; i++) {
+                host.sums("s" + i, i < 2 ? 60 : 20, i < 2 ? 40 : 0, 0.9);
+            }
+            host.run(1);
+        }
+        List<Order.SetLevel> levels = host.all(Order.SetLevel.class);
+        assertEquals(Order.Retry.NEVER, levels.get(levels.size() - 1).retry());
+        assertEquals(1, levels.get(levels.size() - 1).level());
+    }
+
     @Test
     void aSpareNeverStandsOnAColdServer() {
         FakeHost host = FakeHost.of(2, 8);
