--- a/src/main/java/puffinbarrow/cli/Main.java
+++ b/src/main/java/puffinbarrow/cli/Main.java
@@ -5,15 +5,19 @@
 import puffinbarrow.wire.MalformedBatch;
 import puffinbarrow.wire.WireHost;
 
-/** The command line: one subcommand for each way of running the decisions. */
+/** The command line's door. {@code wirehost} goes straight to the adapter, so that it loads nothing else. */
 public final class Main {
     private Main() {}
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println("usage: puffinbarrow wirehost");
-            System.exit(2);
+        if (args.length == 1 && args[0].equals("wirehost")) {
+            wirehost();
+        } else {
+            System.exit(Commands.run(args));
         }
+    }
+
+    private static void wirehost() throws IOException {
         try {
             new WireHost(Logic::new).run(System.in, System.out);
         } catch (MalformedBatch malformed) {
--- /dev/null
+++ b/src/main/java/puffinbarrow/day/Page.java
@@ -0,0 +1,130 @@
+package puffinbarrow.day;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import puffinbarrow.audit.Audit;
+import puffinbarrow.config.CoordinatorConfig;
+import puffinbarrow.standin.Clients;
+
+/** The figures of a day, and the page that shows them. All figures are of stand-in servers on one machine. */
+public record Page(Script script, CoordinatorConfig config, Audit.Verdict verdict, List<Clients.Flow> flows,
+        long intended, long open, long beganAt, long recordsLost, Map<Integer, Map<String, Double>> coordinators,
+        List<String> troubles, long handed, long refusedWrites, long retried, List<String> fell) {
+
+    private static final long SECOND = 1_000_000_000L;
+    private static final long WINDOW = 10 * SECOND;
+
+    /** Utility answered within the latency budget over utility asked for; a flow late earns a fifth. */
+    public double service() {
+        return service(flows);
+    }
+
+    private double service(List<Clients.Flow> of) {
+        double asked = 0;
+        double got = 0;
+        for (Clients.Flow flow : of) {
+            double utility = config.groups.get(flow.group()).utility();
+            asked += utility;
+            got += flow.outcome() == Clients.Outcome.DELIVERED ? utility
+                    : flow.outcome() == Clients.Outcome.LATE ? utility / 5 : 0;
+        }
+        return asked == 0 ? 1 : got / asked;
+    }
+
+    public double worstWindow() {
+        double worst = 1;
+        for (long from = 0; from + WINDOW <= script.lengthNs; from += SECOND) {
+            worst = Math.min(worst, service(between(from, from + WINDOW)));
+        }
+        return worst;
+    }
+
+    private List<Clients.Flow> between(long from, long to) {
+        return flows.stream().filter(f -> f.startNs() - beganAt >= from && f.startNs() - beganAt < to).toList();
+    }
+
+    /** Whether every flow has one end, every record was kept, and the rules are. */
+    public boolean sound() {
+        return verdict.kept() && recordsLost == 0 && open == 0 && intended == flows.size();
+    }
+
+    public String text() {
+        StringBuilder page = new StringBuilder("\nThe day, as its sockets saw it (stand-in servers on one machine)\n\n");
+        page.append(String.format(Locale.ROOT, "service %.3f   worst 10 s %.3f   flows %d intended, %d ended, %d open%n",
+                service(), worstWindow(), intended, flows.size(), open));
+        page.append(String.format("%n%-18s %8s %9s %7s %8s %8s %8s %8s%n", "group", "service", "delivered", "late",
+                "blocked", "dropped", "p50 ms", "p99 ms"));
+        for (int group = 0; group < config.groups.size(); group++) {
+            int number = group;
+            List<Clients.Flow> own = flows.stream().filter(f -> f.group() == number).toList();
+            page.append(String.format(Locale.ROOT, "%-18s %8.3f %9d %7d %8d %8d %8.0f %8.0f%n",
+                    config.groups.get(group).name(), service(own), count(own, Clients.Outcome.DELIVERED),
+                    count(own, Clients.Outcome.LATE), count(own, Clients.Outcome.BLOCKED),
+                    count(own, Clients.Outcome.DROPPED), percentile(own, 0.5), percentile(own, 0.99)));
+        }
+        page.append("\n   from    flows  service   p99 ms  what went wrong\n");
+        for (long from = 0; from < script.lengthNs; from += 2 * SECOND) {
+            List<Clients.Flow> some = between(from, from + 2 * SECOND);
+            double service = service(some);
+            long begins = from;
+            List<String> struck = new ArrayList<>();
+            for (Script.Trouble t : script.troubles) {
+                if (t.atNs() >= begins && t.atNs() < begins + 2 * SECOND) {
+                    struck.add(t.text());
+                }
+            }
+            page.append(String.format(Locale.ROOT, "%5.0f s  %7d  %7.3f  %7.0f  %s%n", from / 1e9, some.size(), service,
+                    percentile(some, 0.99), String.join("; ", struck)));
+        }
+        page.append("\nwhat was done\n");
+        troubles.forEach(line -> page.append("  ").append(line).append('\n'));
+        page.append(String.format(Locale.ROOT, "%norders %d messages   tries again by proxies %d   charges handed on %d   "
+                + "writes refused by the store %d%n", verdict.ordersFrames(), retried, handed, refusedWrites));
+        coordinators.forEach((number, values) -> page.append(String.format(Locale.ROOT,
+                "coordinator %d: lines sent %.0f, most waiting %.0f, decision failures %.0f%n", number,
+                values.getOrDefault("channel.lines.sent", 0.0), values.getOrDefault("channel.lines.most", 0.0),
+                values.getOrDefault("decision.failures", 0.0))));
+        if (!fell.isEmpty()) {
+            page.append("fell over cold: ").append(fell).append('\n');
+        }
+        rules(page);
+        return page.toString();
+    }
+
+    private void rules(StringBuilder page) {
+        page.append("\nthe five rules, from what passed on the sockets\n");
+        Map<Audit.Rule, String> worst = new TreeMap<>();
+        worst.put(Audit.Rule.BARE, String.format(Locale.ROOT, "nobody left without a backend: longest %.2f s of %.2f s",
+                verdict.longestBareNs() / 1e9, config.bareNs / 1e9));
+        worst.put(Audit.Rule.TWICE, "no effect twice: " + verdict.attempts() + " attempts looked at");
+        worst.put(Audit.Rule.DRAIN, String.format(Locale.ROOT, "drains kept: the last send %.2f s after the word, %.2f s "
+                + "allowed", verdict.latestDrainNs() / 1e9, config.graceNs / 1e9));
+        worst.put(Audit.Rule.COLD, String.format(Locale.ROOT, "no cold backend pushed over: at most %.2f of the budget",
+                verdict.mostColdPart()));
+        worst.put(Audit.Rule.QUEUE, String.format(Locale.ROOT, "a short queue: %.0f lines of %.0f, %d messages%s",
+                verdict.mostQueued(), config.queueLines, verdict.mostMessages(),
+                config.messages > 0 ? " of " + config.messages : ""));
+        for (Audit.Rule rule : Audit.rules()) {
+            page.append(verdict.broke(rule) ? "  BROKEN " : "  kept   ").append(worst.get(rule)).append('\n');
+            verdict.findings().stream().filter(f -> f.rule() == rule).limit(5)
+                    .forEach(f -> page.append("           ").append(f.evidence()).append('\n'));
+        }
+        if (recordsLost > 0) {
+            page.append("  ").append(recordsLost).append(" records did not fit: the verdict does not hold\n");
+        }
+    }
+
+    private static long count(List<Clients.Flow> of, Clients.Outcome outcome) {
+        return of.stream().filter(f -> f.outcome() == outcome).count();
+    }
+
+    /** Of answered flows, from their intended start. */
+    private static double percentile(List<Clients.Flow> of, double part) {
+        long[] took = of.stream().filter(f -> f.outcome() == Clients.Outcome.DELIVERED
+                || f.outcome() == Clients.Outcome.LATE).mapToLong(Clients.Flow::tookNs).sorted().toArray();
+        return took.length == 0 ? 0 : took[(int) Math.min(took.length - 1, part * took.length)] / 1e6;
+    }
+}
