Tests that cause the failures the coordinator is meant for; the audit can fail

Need: each odd stream, a killed or throwing coordinator and each of the five rules wants a test that fails without its guard.

--- a/src/main/java/puffinbarrow/config/CoordinatorConfig.java
+++ b/src/main/java/puffinbarrow/config/CoordinatorConfig.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -103,6 +104,7 @@
             config.take(statement, problems);
         }
         config.whole(name, problems);
+        problems.sort(Comparator.comparing(Problem::file).thenComparing(Problem::line));
         return config;
     }
 
--- a/src/main/java/puffinbarrow/config/Words.java
+++ b/src/main/java/puffinbarrow/config/Words.java
@@ -110,7 +110,7 @@
             // Said below.
         }
         wrong(quote(word), what + ", a share such as 0.25 or 25%");
-        return 0;
+        return 1;
     }
 
     /** A time as 250us, 20ms, 1.5s, 2m or 1h, in nanoseconds. */
--- /dev/null
+++ b/src/test/java/puffinbarrow/audit/AuditTest.java
@@ -0,0 +1,190 @@
+package puffinbarrow.audit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import puffinbarrow.audit.Audit.Rule;
+import puffinbarrow.config.CoordinatorConfig;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Order;
+
+/** The audit on records written by hand: each rule just kept, and just broken. Times in milliseconds. */
+class AuditTest {
+    private final List<Seen> seen = new ArrayList<>();
+    private long flow;
+
+    private static CoordinatorConfig config(String more) {
+        return CoordinatorConfig.parse("t", "coordinator 0 of 1\nregistry 127.0.0.1:1 push\nstore 127.0.0.1:1\n\n"
+                + (more.isEmpty() ? "slices 4\n" : more) + "group read utility 1 budget 1s expiry 2s retriable\ngroup order utility 1 budget 1s expiry 2s "
+                + "deduped zone 500ms\ngroup book utility 1 budget 1s expiry 2s non-retriable\nbare 2s\ngrace 1s\n"
+                + "warm 10s\nfall-multiple 2 for 1s\nqueue 100\npace 200\nhead 10\nmessages 3 per 1s\n",
+                new ArrayList<>());
+    }
+
+    private static long ms(long ms) {
+        return ms * 1_000_000;
+    }
+
+    private void told(long at, Event.Listed listed, long started, String... servers) {
+        List<Event.Entry> entries = new ArrayList<>();
+        for (String server : servers) {
+            entries.add(new Event.Entry(server, 0, 0, 0, listed, 1, started));
+        }
+        seen.add(new Seen.ListTold(ms(at), 0, Event.ListKind.PATCH, entries));
+    }
+
+    private void applied(long at, Order... orders) {
+        seen.add(new Seen.Applied(ms(at), 0, 0, ms(at), List.of(orders)));
+    }
+
+    private Seen.Sent sent(long at, String server, int group, long workMs) {
+        Seen.Sent sent = new Seen.Sent(ms(at), 0, server, 1, group, flow++, 0, ms(workMs), 0);
+        seen.add(sent);
+        return sent;
+    }
+
+    private void again(Seen.Sent first, long at, boolean proof) {
+        seen.add(new Seen.Ended(ms(at), 0, first.flow(), 0, false, proof));
+        seen.add(new Seen.Sent(ms(at), 0, "b", 1, first.group(), first.flow(), 1, first.workNs(), 0));
+    }
+
+    private void ran(long at, String server, int zone, int group, long flow) {
+        seen.add(new Seen.Ran(ms(at), server, zone, 0, 1, group, flow, true));
+    }
+
+    private TreeSet<Rule> broken(String more) {
+        TreeSet<Rule> rules = new TreeSet<>();
+        Audit.judge(config(more), seen, 0).findings().forEach(f -> rules.add(f.rule()));
+        return rules;
+    }
+
+    private void expect(Rule... rules) {
+        assertEquals(new TreeSet<>(List.of(rules)), broken(""));
+    }
+
+    @BeforeEach
+    void aProxyWithTwoServersForSliceOne() {
+        told(0, Event.Listed.READY, 0, "a", "b", "c");
+        seen.add(new Seen.ChargeTold(ms(0), 0, 1, true));
+        seen.add(new Seen.Stream(ms(0), 0, 0, true));
+        seen.add(new Seen.OwnerRead(ms(0), 0, 1, 0));
+        seen.add(new Seen.TableRead(ms(0), 0, 1, List.of(new Order.SetLine(1, "a", 1), new Order.SetLine(1, "b", 1))));
+    }
+
+    @Test
+    void bareOverTheLimitBreaksAndUnderItDoesNot() {
+        applied(1000, new Order.Mask("a", true), new Order.Mask("b", true));
+        applied(2900, new Order.Mask("b", false));
+        expect();
+        applied(4000, new Order.SetLine(1, "b", 0));
+        applied(6100, new Order.SetLine(1, "c", 1));
+        expect(Rule.BARE);
+    }
+
+    @Test
+    void bareWithoutAWarmServerOnTheListIsNoBreach() {
+        told(900, Event.Listed.GONE, 0, "a", "b", "c");
+        told(900, Event.Listed.READY, ms(800), "d");
+        applied(1000, new Order.Mask("a", true), new Order.Mask("b", true));
+        told(9000, Event.Listed.READY, ms(800), "d");
+        expect();
+    }
+
+    @Test
+    void aSendAfterTheGraceBreaks() {
+        told(1000, Event.Listed.DRAINING, 0, "a");
+        sent(1900, "a", 0, 1);
+        expect();
+        sent(2100, "a", 0, 1);
+        expect(Rule.DRAIN);
+    }
+
+    @Test
+    void theGraceRunsFromTheLaterJoining() {
+        told(1000, Event.Listed.DRAINING, 0, "a");
+        seen.add(new Seen.Stream(ms(1200), 0, 0, false));
+        sent(2500, "a", 0, 1);
+        seen.add(new Seen.Stream(ms(2600), 0, 0, true));
+        sent(3500, "a", 0, 1);
+        expect();
+    }
+
+    @Test
+    void aServerThatReturnedMayBeSentTo() {
+        told(1000, Event.Listed.GONE, 0, "a");
+        told(3000, Event.Listed.READY, ms(2900), "a");
+        sent(5000, "a", 0, 1);
+        expect();
+    }
+
+    @Test
+    void repeatsOnlyOnProofOrInScope() {
+        again(sent(100, "a", 0, 1), 200, false);
+        again(sent(100, "a", 2, 1), 200, true);
+        ran(100, "a", 0, 1, 50);
+        ran(500, "b", 0, 1, 50);
+        expect();
+        again(sent(300, "a", 2, 1), 400, false);
+        expect(Rule.TWICE);
+    }
+
+    @Test
+    void aDedupedEffectInAnotherZoneOrAfterItsWindowIsTwice() {
+        ran(100, "a", 0, 1, 50);
+        ran(200, "b", 1, 1, 50);
+        expect(Rule.TWICE);
+        seen.remove(seen.size() - 1);
+        ran(700, "b", 0, 1, 50);
+        expect(Rule.TWICE);
+    }
+
+    @Test
+    void whereASliceHasOneOwnerTwoServersNeverWriteAtATime() {
+        ran(100, "a", 0, 2, 50);
+        ran(200, "b", 0, 2, 51);
+        expect();
+        assertEquals(new TreeSet<>(List.of(Rule.TWICE)), broken("slices 4 sole-owner\n"));
+    }
+
+    @Test
+    void aColdServerSentMoreThanItsBudgetIsPushedOver() {
+        seen.add(new Seen.Started(ms(1000), "c", 1, 1, 0.25, ms(10_000)));
+        told(1100, Event.Listed.READY, ms(1000), "c");
+        applied(1200, new Order.SetLine(1, "c", 1));
+        for (int i = 0; i < 9; i++) {
+            sent(2000 + i, "c", 0, 70);
+        }
+        expect();
+        for (int i = 0; i < 3; i++) {
+            sent(2010 + i, "c", 0, 70);
+        }
+        expect(Rule.COLD);
+    }
+
+    @Test
+    void linesWaitingAreCountedFromTheTurnToTheArrival() {
+        for (int i = 0; i < 3; i++) {
+            seen.add(new Seen.Arrived(ms(3000 + i), 0, 0, i, ms(1000 + 900 * i), 40));
+        }
+        expect(Rule.QUEUE);
+        seen.removeIf(s -> s instanceof Seen.Arrived);
+        for (int i = 0; i < 3; i++) {
+            seen.add(new Seen.Arrived(ms(1500 + 900 * i), 0, 0, i, ms(1000 + 900 * i), 40));
+        }
+        expect();
+    }
+
+    @Test
+    void messagesToOneProxyAreCountedOverTheSpan() {
+        for (int i = 0; i < 4; i++) {
+            seen.add(new Seen.Arrived(ms(1000 + 400 * i), 0, 0, i, ms(1000 + 400 * i), 1));
+        }
+        expect();
+        seen.add(new Seen.Arrived(ms(2250), 0, 0, 9, ms(2250), 1));
+        expect(Rule.QUEUE);
+    }
+}
--- /dev/null
+++ b/src/test/java/puffinbarrow/coordinator/ChannelTest.java
@@ -0,0 +1,128 @@
+package puffinbarrow.coordinator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import puffinbarrow.control.Event;
+import puffinbarrow.proto.Frame;
+
+/** The paced channel and the merging of sums, both without I/O. */
+class ChannelTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final Outlet NOWHERE = new Outlet() {
+        @Override
+        public boolean send(ByteBuffer bytes) {
+            return true;
+        }
+
+        @Override
+        public void close(String why) {}
+    };
+
+    private static PacedChannel.Message message(int proxy, double lines) {
+        return new PacedChannel.Message(proxy, NOWHERE, ByteBuffer.allocate(0), lines, 0);
+    }
+
+    @Test
+    void messagesLeaveOneAfterTheOtherAtThePace() {
+        PacedChannel channel = new PacedChannel(1000, 100, 0, SECOND);
+        channel.offer(0, message(1, 50));
+        channel.offer(0, message(2, 50));
+        assertNull(channel.poll(SECOND / 2 - 1));
+        assertEquals(1, channel.poll(SECOND / 2).proxy());
+        assertNull(channel.poll(SECOND / 2));
+        assertEquals(2, channel.poll(SECOND).proxy());
+        // An idle channel saves nothing up.
+        channel.offer(10 * SECOND, message(3, 100));
+        assertNull(channel.poll(11 * SECOND - 1));
+        assertNotNull(channel.poll(11 * SECOND));
+    }
+
+    @Test
+    void aSlowedChannelKeepsWhatIsUnderWayInProportion() {
+        PacedChannel channel = new PacedChannel(1000, 100, 0, SECOND);
+        channel.offer(0, message(1, 100));
+        channel.pace(SECOND / 2, 0.25);
+        assertNull(channel.poll(2 * SECOND));
+        assertNotNull(channel.poll(SECOND / 2 + 2 * SECOND));
+    }
+
+    @Test
+    void neitherLimitIsEverPassed() {
+        PacedChannel channel = new PacedChannel(100, 1000, 2, SECOND);
+        assertEquals(PacedChannel.Taken.QUEUED, channel.offer(0, message(1, 60)));
+        assertEquals(PacedChannel.Taken.QUEUE_FULL, channel.offer(0, message(2, 60)));
+        assertEquals(PacedChannel.Taken.QUEUED, channel.offer(0, message(1, 20)));
+        assertEquals(PacedChannel.Taken.TOO_MANY_MESSAGES, channel.offer(0, message(1, 1)));
+        assertEquals(80, channel.mostWaiting());
+        // Counted from joining: one that left and came back begins anew, and what waited for it is lost.
+        channel.forget(1);
+        assertEquals(0, channel.waitingLines());
+        assertEquals(PacedChannel.Taken.QUEUED, channel.offer(0, message(1, 60)));
+    }
+
+    private static Frame.Sums sums(long round, String server, long tries, long dropped, long tookNs) {
+        return new Frame.Sums(1, round, SECOND, List.of(new Frame.Met(server, tries, dropped, tookNs,
+                Map.of(Event.Measure.BUSY, tries / 10.0))));
+    }
+
+    private static List<Event> release(Gather gather, long now, int joined) {
+        List<Event> events = new ArrayList<>();
+        gather.release(now, joined, events);
+        return events;
+    }
+
+    @Test
+    void sumsOfOneRoundBecomeOneLineForAZoneAndServer() {
+        Gather gather = new Gather(100, SECOND);
+        release(gather, 0, 2);
+        gather.sums(SECOND, 1, sums(7, "a", 4, 1, 300));
+        assertEquals(List.of(), release(gather, SECOND, 2));
+        gather.sums(SECOND, 2, sums(7, "a", 6, 0, 600));
+        assertEquals(List.of(new Event.ServerSums("a", 1, SECOND, 100, 1, 10, Map.of(Event.Measure.BUSY, 0.6))),
+                release(gather, SECOND, 2));
+    }
+
+    @Test
+    void aProxyThatDoesNotReportHoldsARoundUpForAQuarterOnly() {
+        Gather gather = new Gather(100, SECOND);
+        gather.sums(SECOND, 1, sums(7, "a", 4, 1, 300));
+        assertEquals(0, release(gather, SECOND + SECOND / 4 - 1, 2).size());
+        assertEquals(1, release(gather, SECOND + SECOND / 4, 2).size());
+    }
+
+    @Test
+    void linesGoOnAtTheIntakeRateTheOldestFirst() {
+        Gather gather = new Gather(10, SECOND);
+        for (int i = 0; i < 30; i++) {
+            gather.sums(0, 1, sums(1, "s" + i, 1, 0, 1));
+        }
+        List<Event> events = release(gather, SECOND, 1);
+        assertEquals(10, events.size());
+        assertEquals("s0", ((Event.ServerSums) events.get(0)).server());
+        assertEquals(5, release(gather, SECOND + SECOND / 2, 1).size());
+    }
+
+    @Test
+    void whatOverflowsAddsUpAndIsCountedAndNoTryIsLost() {
+        Gather gather = new Gather(1, SECOND);
+        for (long round = 0; round < 1000; round++) {
+            gather.sums(round, 1, sums(round, "a", 2, 1, 10));
+        }
+        long tries = 0;
+        for (int second = 1; second < 2000; second++) {
+            for (Event event : release(gather, second * SECOND, 1)) {
+                tries += ((Event.ServerSums) event).tries();
+            }
+        }
+        assertEquals(2000, tries);
+        assertEquals(0, gather.waitingLines());
+        assertEquals(1000 - 301, gather.mergedLines());
+    }
+}
