--- /dev/null
+++ b/src/bench/java/puffinbarrow/bench/Bench.java
@@ -0,0 +1,25 @@
+package puffinbarrow.bench;
+
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** Runs the benchmarks named: frames and turn by JMH, spread and streams over sockets. Ratios, not wall times. */
+public final class Bench {
+    private Bench() {}
+
+    public static void main(String[] args) throws Exception {
+        for (String name : args) {
+            switch (name) {
+                case "frames", "turn" -> new Runner(new OptionsBuilder()
+                        .include(name.equals("frames") ? FrameBench.class.getSimpleName()
+                                : TurnBench.class.getSimpleName())
+                        .addProfiler(GCProfiler.class).build()).run();
+                case "spread" -> SocketBench.spread(100, 300);
+                case "streams" -> SocketBench.streams(1000);
+                default -> throw new IllegalArgumentException("no benchmark " + name
+                        + ", expected frames, turn, spread or streams");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/java/puffinbarrow/bench/SocketBench.java
@@ -0,0 +1,159 @@
+package puffinbarrow.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.commons.rng.simple.RandomSource;
+import puffinbarrow.Logic;
+import puffinbarrow.audit.Recorder;
+import puffinbarrow.config.CoordinatorConfig;
+import puffinbarrow.config.Problem;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Order;
+import puffinbarrow.coordinator.Coordinator;
+import puffinbarrow.coordinator.Dialer;
+import puffinbarrow.coordinator.Outlet;
+import puffinbarrow.net.Net;
+import puffinbarrow.proto.Frame;
+import puffinbarrow.proto.FrameWriter;
+import puffinbarrow.standin.Registry;
+import puffinbarrow.standin.Store;
+
+/** A real coordinator on loopback among proxies that answer marks at once and do nothing else. */
+final class SocketBench {
+    private static final int SERVERS = 80;
+
+    private SocketBench() {}
+
+    private static final class Fleet implements AutoCloseable {
+        final Net net = new Net("bench", 4);
+        final Recorder none = new Recorder(0);
+        final Registry registry = new Registry(net, none, RandomSource.XO_RO_SHI_RO_128_PP.create(1), 0, 1);
+        final Store store;
+        final Coordinator coordinator;
+        final CoordinatorConfig config;
+        final List<Dialer> proxies = new ArrayList<>();
+        final AtomicLong applied = new AtomicLong();
+        final AtomicLong lines = new AtomicLong();
+        volatile long lastAppliedAt;
+
+        Fleet(int count, int slices, String more) throws IOException {
+            store = new Store(net, none, slices, 1, false, 1000);
+            List<Event.Entry> entries = new ArrayList<>();
+            for (int i = 0; i < SERVERS; i++) {
+                entries.add(entry(i, Event.Listed.READY));
+            }
+            registry.set(entries);
+            for (int i = 0; i < slices; i++) {
+                store.begin(i, "10.0.0." + i % SERVERS + ":80");
+            }
+            List<Problem> problems = new ArrayList<>();
+            config = CoordinatorConfig.parse("bench", "coordinator 0 of 1\nregistry 127.0.0.1:"
+                    + registry.address().getPort() + " push\nstore 127.0.0.1:" + store.address().getPort() + "\nslices "
+                    + slices + "\ngroup g utility 1 budget 1s expiry 2s retriable\n" + more, problems);
+            if (!problems.isEmpty()) {
+                throw new IllegalStateException(problems.toString());
+            }
+            coordinator = new Coordinator(config, Logic::new).start();
+            for (int i = 0; i < count; i++) {
+                Frame.Hello hello = new Frame.Hello(1, 0, Frame.Role.PROXY, i, i % 3, i, true, 5);
+                Outlet[] up = new Outlet[1];
+                proxies.add(new Dialer(net, "bench", coordinator.address(), hello, 1 << 20, 1 << 22, frame -> {
+                    if (frame instanceof Frame.Orders orders) {
+                        lines.addAndGet(orders.orders().size());
+                        orders.orders().stream().filter(o -> o instanceof Order.Mark).forEach(o -> {
+                            up[0].send(new FrameWriter().bytes(new Frame.Applied(((Order.Mark) o).number(), 1)));
+                            applied.incrementAndGet();
+                            lastAppliedAt = System.nanoTime();
+                        });
+                    }
+                }, outlet -> up[0] = outlet).start());
+            }
+            until(() -> value("streams.joined") == count && value("slices.charge") == slices);
+        }
+
+        static Event.Entry entry(int i, Event.Listed listed) {
+            return new Event.Entry("10.0.0." + i + ":80", i % 3, 0, i / 4, listed, 1, 0);
+        }
+
+        double value(String name) {
+            return coordinator.meters().values().getOrDefault(name, 0.0);
+        }
+
+        void until(java.util.function.BooleanSupplier done) {
+            long end = System.nanoTime() + 120_000_000_000L;
+            while (!done.getAsBoolean() && System.nanoTime() < end) {
+                pause(2);
+            }
+            if (!done.getAsBoolean()) {
+                throw new IllegalStateException("did not settle");
+            }
+        }
+
+        /** Until nothing has been applied for a second. */
+        void quiet() {
+            for (long before = -1; before != applied.get();) {
+                before = applied.get();
+                pause(1500);
+            }
+        }
+
+        static void pause(long ms) {
+            try {
+                Thread.sleep(ms);
+            } catch (InterruptedException stop) {
+                throw new IllegalStateException(stop);
+            }
+        }
+
+        @Override
+        public void close() {
+            proxies.forEach(Dialer::close);
+            coordinator.kill();
+            registry.close();
+            store.close();
+            net.close();
+        }
+    }
+
+    /** From a change of the list to the last proxy's answer, against what the paced channel needs for those lines. */
+    static void spread(int proxies, int slices) throws IOException {
+        try (Fleet fleet = new Fleet(proxies, slices, "pace 20000\nqueue 40000\nhead 12\ngrace 3s\n")) {
+            fleet.quiet();
+            for (int round = 0; round < 5; round++) {
+                double linesBefore = fleet.value("channel.lines.sent");
+                long appliedBefore = fleet.applied.get();
+                long began = System.nanoTime();
+                fleet.registry.set(Fleet.entry(round, Event.Listed.DRAINING));
+                fleet.quiet();
+                double theory = (fleet.value("channel.lines.sent") - linesBefore) / fleet.config.linesPerS;
+                double took = (fleet.lastAppliedAt - began) / 1e9;
+                System.out.printf(Locale.ROOT, "spread %d: %d proxies, %d slices, %d answers; %.3f s to the last applied, "
+                        + "%.3f s the channel needs for its lines, ratio %.2f%n", round, proxies, slices,
+                        fleet.applied.get() - appliedBefore, took, theory, took / theory);
+            }
+        }
+    }
+
+    /** So many streams on one coordinator: all joined, all ordered once, and what a round of their sums costs a turn. */
+    static void streams(int count) throws IOException {
+        long before = used();
+        try (Fleet fleet = new Fleet(count, 300, "pace 400000\nqueue 400000\nhead 1\nintake 100000\n")) {
+            fleet.quiet();
+            System.out.printf(Locale.ROOT, "streams: %d joined, %d answers, %d refusals, %.1f MB heap more than before "
+                    + "(both ends)%n", count, fleet.applied.get(), (long) fleet.value("channel.cut_off{cause=queue_full}"),
+                    (used() - before) / 1e6);
+            double[] quantiles = {fleet.value("turn.us.max"), fleet.value("turn.us.total")
+                    / Math.max(1, fleet.value("turn.us.count"))};
+            System.out.printf(Locale.ROOT, "streams: a turn takes %.0f us on average, %.0f us at most%n",
+                    quantiles[1], quantiles[0]);
+        }
+    }
+
+    private static long used() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+}
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -5,7 +5,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -17,6 +16,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import puffinbarrow.audit.Audit;
 import puffinbarrow.audit.Recorder;
+import puffinbarrow.audit.Seen;
 import puffinbarrow.config.CoordinatorConfig;
 import puffinbarrow.config.Problem;
 import puffinbarrow.control.Controller;
@@ -214,9 +214,11 @@
         }
         Map<Integer, Map<String, Double>> figures = new TreeMap<>();
         coordinators.forEach((number, c) -> figures.put(number, c.meters().values()));
-        Audit.Verdict verdict = Audit.judge(stretched(), recorder.all(), beganAt);
-        return new Page(script, judged, verdict, clients.ended(), clients.intended(), clients.openFlows(), beganAt,
-                recorder.lost(), figures, List.copyOf(log), store.handed(), store.refusedWrites(),
+        List<Seen> seen = recorder.all();
+        List<Clients.Flow> flows = clients.ended();
+        Audit.Verdict verdict = Audit.judge(stretched(), seen, beganAt);
+        return new Page(script, judged, verdict, flows, clients.intended(), clients.openFlows(), beganAt,
+                recorder.lost(), figures, List.copyOf(log), Signs.of(script, seen, flows, beganAt), store.handed(), store.refusedWrites(),
                 proxies.stream().mapToLong(PlainProxy::retried).sum(),
                 backends.values().stream().filter(Backend::fell).map(Backend::id).toList());
     }
@@ -526,9 +528,4 @@
         backends.values().forEach(Backend::die);
         net.close();
     }
-
-    /** For tests. */
-    Map<String, Backend> backends() {
-        return new HashMap<>(backends);
-    }
 }
--- a/src/main/java/puffinbarrow/day/Page.java
+++ b/src/main/java/puffinbarrow/day/Page.java
@@ -12,7 +12,7 @@
 /** The figures of a day, and the page that shows them. All figures are of stand-in servers on one machine. */
 public record Page(Script script, CoordinatorConfig config, Audit.Verdict verdict, List<Clients.Flow> flows,
         long intended, long open, long beganAt, long recordsLost, Map<Integer, Map<String, Double>> coordinators,
-        List<String> troubles, long handed, long refusedWrites, long retried, List<String> fell) {
+        List<String> troubles, List<String> signs, long handed, long refusedWrites, long retried, List<String> fell) {
 
     private static final long SECOND = 1_000_000_000L;
     private static final long WINDOW = 10 * SECOND;
@@ -81,6 +81,8 @@
         }
         page.append("\nwhat was done\n");
         troubles.forEach(line -> page.append("  ").append(line).append('\n'));
+        page.append("\nwhat showed on the sockets while each lasted, and 3 s after (lines and masks at proxy 0)\n");
+        signs.forEach(line -> page.append("  ").append(line).append('\n'));
         page.append(String.format(Locale.ROOT, "%norders %d messages   tries again by proxies %d   charges handed on %d   "
                 + "writes refused by the store %d%n", verdict.ordersFrames(), retried, handed, refusedWrites));
         coordinators.forEach((number, values) -> page.append(String.format(Locale.ROOT,
