--- a/src/bench/java/puffinbarrow/bench/SocketBench.java
+++ b/src/bench/java/puffinbarrow/bench/SocketBench.java
@@ -64,7 +64,7 @@
                     if (frame instanceof Frame.Orders orders) {
                         lines.addAndGet(orders.orders().size());
                         orders.orders().stream().filter(o -> o instanceof Order.Mark).forEach(o -> {
-                            up[0].send(new FrameWriter().bytes(new Frame.Applied(((Order.Mark) o).number(), 1)));
+                            up[0].send(FrameWriter.one(new Frame.Applied(((Order.Mark) o).number(), 1)));
                             applied.incrementAndGet();
                             lastAppliedAt = System.nanoTime();
                         });
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -289,7 +289,7 @@
                     refuse(Frame.Refused.EXPECTED_HELLO, "the first frame was no hello");
                 }
             } else if (frame instanceof Frame.Ping ping) {
-                send(new FrameWriter().bytes(new Frame.Pong(ping.number())));
+                send(FrameWriter.one(new Frame.Pong(ping.number())));
             } else if (frame instanceof Frame.Pong) {
                 return;
             } else if (frame instanceof Frame.Bye) {
@@ -335,20 +335,20 @@
         }
 
         private void welcome() {
-            send(new FrameWriter().bytes(new Frame.Welcome(Frame.MINOR, config.number, incarnation)));
+            send(FrameWriter.one(new Frame.Welcome(Frame.MINOR, config.number, incarnation)));
         }
 
         private void refuse(Frame.Refused why, String text) {
             refused = true;
             meters.cause("streams.refused", why);
             LOG.atWarn().addKeyValue("why", why).addKeyValue("proxy", hello == null ? -1 : hello.number()).log(text);
-            link.send(new FrameWriter().bytes(new Frame.Refusal(why, text)));
+            link.send(FrameWriter.one(new Frame.Refusal(why, text)));
             link.closeWhenSent();
         }
 
         private void mustAnswerWithin(long ns) {
             mustSpeakBy = System.nanoTime() + ns;
-            send(new FrameWriter().bytes(new Frame.Ping(mustSpeakBy)));
+            send(FrameWriter.one(new Frame.Ping(mustSpeakBy)));
             net.schedule(ns / 1_000_000 + 10, () -> watch(System.nanoTime()));
         }
 
@@ -361,7 +361,7 @@
                 meters.cause("streams.refused", Frame.Refused.TOO_SLOW);
                 open.close(Link.Cause.CLOSED_HERE, "silent for " + (now - heardAt) / 1_000_000 + " ms");
             } else if (now - heardAt > config.idleNs / 3) {
-                send(new FrameWriter().bytes(new Frame.Ping(now)));
+                send(FrameWriter.one(new Frame.Ping(now)));
             }
         }
 
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -175,6 +175,8 @@
         } catch (RuntimeException failure) {
             meters.count("decision.failures");
             around.failed(now, events, failure);
+            // The timer it would have asked for is lost with its orders: it is woken after a round all the same.
+            wakes.add(new Wake(now + config.roundNs, 0, wakeNumber++));
             return;
         }
         turn++;
--- a/src/main/java/puffinbarrow/coordinator/Dialer.java
+++ b/src/main/java/puffinbarrow/coordinator/Dialer.java
@@ -66,7 +66,7 @@
         net.dial(to, stream, queueBytes, up -> {
             link = up;
             stream.link = up;
-            up.send(new FrameWriter().bytes(hello));
+            up.send(FrameWriter.one(hello));
             if (closed) {
                 up.close();
             }
@@ -119,7 +119,7 @@
                 welcome = true;
                 upOrDown.accept(this);
             } else if (frame instanceof Frame.Ping ping) {
-                send(new FrameWriter().bytes(new Frame.Pong(ping.number())));
+                send(FrameWriter.one(new Frame.Pong(ping.number())));
             } else if (frame instanceof Frame.Refusal refusal) {
                 LOG.atWarn().addKeyValue("to", name).addKeyValue("why", refusal.why()).log("refused: {}",
                         refusal.text());
--- a/src/main/java/puffinbarrow/proto/FrameWriter.java
+++ b/src/main/java/puffinbarrow/proto/FrameWriter.java
@@ -1,7 +1,11 @@
 package puffinbarrow.proto;
 
+import java.lang.invoke.MethodHandles;
+import java.lang.invoke.VarHandle;
 import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Map;
 import java.util.zip.CRC32C;
 import puffinbarrow.control.Event;
@@ -9,14 +13,35 @@
 
 /**
  * Writes frames into one growing buffer, which is used again: {@link #bytes} gives a copy that the caller owns,
- * {@link #write} leaves the frame in the buffer. Lines are written without allocation as long as server ids are
- * ASCII. Not thread-safe: one for each thread.
+ * {@link #write} leaves the frame in the buffer. Lines are written without allocation once a server's id has been
+ * written before. Not thread-safe: one for each thread.
  */
 public final class FrameWriter {
     static final int HEADER = 12;
 
-    private ByteBuffer to = ByteBuffer.allocate(4096);
+    private Bytes to = new Bytes();
     private final CRC32C crc = new CRC32C();
+    /** Far above the servers of one fleet; a clash costs encoding the text anew. Longer texts are messages, not ids. */
+    private static final int KEPT = 1024;
+    private static final int LONGEST_KEPT = 64;
+    private final String[] keptTexts;
+    private final byte[][] keptBytes;
+
+    public FrameWriter() {
+        this(KEPT);
+    }
+
+    private FrameWriter(int kept) {
+        keptTexts = new String[kept];
+        keptBytes = new byte[kept][];
+    }
+
+    /** One frame where no writer is at hand; keeps nothing. */
+    public static ByteBuffer one(Frame frame) {
+        FrameWriter writer = new FrameWriter(1);
+        writer.to.bytes = new byte[128];
+        return writer.write(frame);
+    }
 
     /** A frame in a buffer of its own, ready to be sent. */
     public ByteBuffer bytes(Frame frame) {
@@ -28,25 +53,31 @@
 
     /** The frame, readable until the next call. */
     public ByteBuffer write(Frame frame) {
-        to.clear();
-        to.position(HEADER);
+        to.at = HEADER;
         int type = body(frame);
         return seal(type, 0);
     }
 
     /** Lays header and checksum around what was written; tests use it to make odd frames. */
     ByteBuffer seal(int type, int flags) {
-        int end = to.position();
-        to.putInt(0, end - HEADER);
-        to.put(4, (byte) type);
-        to.put(5, (byte) Frame.MAJOR);
-        to.putShort(6, (short) flags);
+        int end = to.at;
+        to.at = 0;
+        to.putInt(end - HEADER).put((byte) type).put((byte) Frame.MAJOR).putShort((short) flags);
         crc.reset();
-        crc.update(to.array(), 0, 8);
-        crc.update(to.array(), HEADER, end - HEADER);
-        to.putInt(8, (int) crc.getValue());
-        to.flip();
-        return to;
+        crc.update(to.bytes, 0, 8);
+        crc.update(to.bytes, HEADER, end - HEADER);
+        to.putInt((int) crc.getValue());
+        to.at = end;
+        return ByteBuffer.wrap(to.bytes, 0, end);
+    }
+
+    /** The frame's body written so far, to be changed by tests before {@link #seal}. */
+    void cutAndAdd(int cut, byte... more) {
+        to.at -= cut;
+        for (byte each : more) {
+            room(1);
+            to.put(each);
+        }
     }
 
     private int body(Frame frame) {
@@ -194,41 +225,71 @@
         return (byte) (on ? 1 : 0);
     }
 
-    /** Length in two bytes, then UTF-8; the plain way for ASCII allocates nothing. */
+    /** Length in two bytes, then UTF-8; the bytes of texts that come again are kept. */
     private void text(String text) {
-        int length = text.length();
-        room(2 + 3 * length);
-        int start = to.position();
-        to.putShort((short) length);
-        for (int i = 0; i < length; i++) {
-            char c = text.charAt(i);
-            if (c >= 0x80) {
-                to.position(start);
-                slowText(text);
-                return;
+        int place = text.hashCode() & keptTexts.length - 1;
+        byte[] utf = keptBytes[place];
+        if (utf == null || !text.equals(keptTexts[place])) {
+            utf = text.getBytes(StandardCharsets.UTF_8);
+            if (utf.length > 0xffff) {
+                throw new IllegalArgumentException("text over 65535 bytes");
+            }
+            if (utf.length <= LONGEST_KEPT) {
+                keptTexts[place] = text;
+                keptBytes[place] = utf;
             }
-            to.put((byte) c);
-        }
-        if (length > 0xffff) {
-            throw new IllegalArgumentException("text over 65535 bytes");
         }
+        room(2 + utf.length);
+        to.putShort((short) utf.length);
+        System.arraycopy(utf, 0, to.bytes, to.at, utf.length);
+        to.at += utf.length;
     }
 
-    private void slowText(String text) {
-        byte[] utf = text.getBytes(StandardCharsets.UTF_8);
-        if (utf.length > 0xffff) {
-            throw new IllegalArgumentException("text over 65535 bytes");
+    private void room(int bytes) {
+        if (to.bytes.length - to.at < bytes) {
+            to.bytes = Arrays.copyOf(to.bytes, Math.max(to.bytes.length * 2, to.at + bytes));
         }
-        room(2 + utf.length);
-        to.putShort((short) utf.length).put(utf);
     }
 
-    private void room(int bytes) {
-        if (to.remaining() < bytes) {
-            ByteBuffer larger = ByteBuffer.allocate(Math.max(to.capacity() * 2, to.position() + bytes));
-            to.flip();
-            larger.put(to);
-            to = larger;
+    /** An array and a cursor: plain stores at a known place cost less than a buffer's checks for each field. */
+    private static final class Bytes {
+        private static final VarHandle SHORTS = view(short[].class), INTS = view(int[].class),
+                LONGS = view(long[].class), DOUBLES = view(double[].class);
+
+        byte[] bytes = new byte[4096];
+        int at;
+
+        private static VarHandle view(Class<?> of) {
+            return MethodHandles.byteArrayViewVarHandle(of, ByteOrder.BIG_ENDIAN);
+        }
+
+        Bytes put(byte value) {
+            bytes[at++] = value;
+            return this;
+        }
+
+        Bytes putShort(short value) {
+            SHORTS.set(bytes, at, value);
+            at += 2;
+            return this;
+        }
+
+        Bytes putInt(int value) {
+            INTS.set(bytes, at, value);
+            at += 4;
+            return this;
+        }
+
+        Bytes putLong(long value) {
+            LONGS.set(bytes, at, value);
+            at += 8;
+            return this;
+        }
+
+        Bytes putDouble(double value) {
+            DOUBLES.set(bytes, at, value);
+            at += 8;
+            return this;
         }
     }
 }
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -271,7 +271,7 @@
             to = voice.outlet;
         }
         if (mark >= 0 && to != null) {
-            to.send(new FrameWriter().bytes(new Frame.Applied(mark, System.nanoTime() - orders.orderedAtNs())));
+            to.send(FrameWriter.one(new Frame.Applied(mark, System.nanoTime() - orders.orderedAtNs())));
         }
     }
 
@@ -290,7 +290,7 @@
             to = storeOutlet;
         }
         if (to != null) {
-            to.send(new FrameWriter().bytes(new Frame.ReadSlice(slice)));
+            to.send(FrameWriter.one(new Frame.ReadSlice(slice)));
         }
     }
 
@@ -548,8 +548,8 @@
                     Frame sums = new Frame.Sums(zone, round, config.roundNs, met);
                     Frame demand = new Frame.Demand(round, config.roundNs, came);
                     late.add(() -> {
-                        to.send(new FrameWriter().bytes(sums));
-                        to.send(new FrameWriter().bytes(demand));
+                        to.send(FrameWriter.one(sums));
+                        to.send(FrameWriter.one(demand));
                     });
                 }
             }
--- a/src/main/java/puffinbarrow/standin/Registry.java
+++ b/src/main/java/puffinbarrow/standin/Registry.java
@@ -153,7 +153,7 @@
         }
 
         private void tell(Event.ListKind kind, List<Event.Entry> list) {
-            ByteBuffer bytes = new FrameWriter().bytes(new Frame.ServerList(kind, version, list));
+            ByteBuffer bytes = FrameWriter.one(new Frame.ServerList(kind, version, list));
             if (breakNext) {
                 breakNext = false;
                 bytes.limit(bytes.limit() / 2);
@@ -166,7 +166,7 @@
         }
 
         private void send(Frame frame) {
-            link.send(new FrameWriter().bytes(frame));
+            link.send(FrameWriter.one(frame));
         }
 
         @Override
--- a/src/main/java/puffinbarrow/standin/Store.java
+++ b/src/main/java/puffinbarrow/standin/Store.java
@@ -203,7 +203,7 @@
         private void send(Frame frame) {
             Link to = link;
             if (to != null) {
-                to.send(new FrameWriter().bytes(frame));
+                to.send(FrameWriter.one(frame));
             }
         }
 
