Masks of servers that left wait for bare slices a sixth of the grace at most

Change: a binding mask is held for bare slices no longer than a sixth of the grace, counted from the word or from a proxy's joining.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -85,6 +85,8 @@
         State state = State.OUT;
         long holdNs;
         long holdUntil;
+        /** Since when its mask has bound us: told that it left, or a proxy joined that does not have the mask. */
+        long bindsSince;
         double tries, dropped, tookNs;
         boolean pressed;
         double report = Double.NaN;
@@ -218,6 +220,7 @@
             // A proxy that was here before may hold masks of a stream or a life of ours that is forgotten:
             // a stale mask could leave it bare, so all masks are stated again, the lifted ones too.
             levelsDue = dirty = true;
+            servers.values().stream().filter(v -> maskSent.contains(v.id)).forEach(v -> v.bindsSince = now);
             masksDue.addAll(e.fresh() ? maskSent : rounds < 3 ? servers.keySet() : everMasked);
         } else if (event instanceof Event.ProxyLeft e) {
             joined.remove(e.proxy());
@@ -279,6 +282,7 @@
     }
 
     private void leave(Server server) {
+        server.bindsSince = server.ready ? now : server.bindsSince;
         server.ready = false;
         step(server, Input.LEAVES);
     }
@@ -969,8 +973,12 @@
                 masksDue.remove(id);
             }
         }
+        // Guards the grace where much of the fleet goes at once and the channel is full: a mask that would leave
+        // a slice bare waits for its line, but no longer than a sixth of the grace. The rest is for the turn, the
+        // queue and the way. A bare slice's flows would find nobody at a server that left; its line goes first
+        // in the next turn. It harms where a draining server would have served them still.
         for (Server server : masks) {
-            if (!leavesBare(server.id)) {
+            if (server.leaving() && now - server.bindsSince > set.graceNs() / 6 || !leavesBare(server.id)) {
                 out.add(new Order.Mask(server.id, true));
                 maskSent.add(server.id);
                 everMasked.add(server.id);
