--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -85,7 +85,7 @@
         State state = State.OUT;
         long holdNs;
         long holdUntil;
-        /** Since when its mask has bound us: told that it left, or a proxy joined that does not have the mask. */
+        /** Since when its mask has bound us: told that it left, or a proxy joined that lacks the mask. */
         long bindsSince;
         double tries, dropped, tookNs;
         boolean pressed;
@@ -472,7 +472,10 @@
         boolean more = !idle && (usualShare > 0.1 && late > 0.3 || late > 0.5);
         boolean less = idle || (usualShare < 0.03 || late < 0.2) && late < 0.35;
         strained = more || strained && !less;
-        calmLoad = strained || was || fleetSize <= 0 ? calmLoad : Math.max(calmLoad, fleetDemand / fleetSize);
+        if (!strained && !was && fleetSize > 0) {
+            calmLoad = Math.max(calmLoad, fleetDemand / fleetSize);
+            calmWhole = Math.max(calmWhole, fleetDemand / wholeSize);
+        }
         double before = shed;
         int spare = set.groups().size() - 1;
         // Half a group at first, then a quarter a round, held while things get better, as sums show a step
@@ -508,6 +511,8 @@
     // ---- Scores.
 
     private double fleetDemand, fleetSize, ownPart, usualReport;
+    /** The most that was listed ready at a time: what the fleet is when it is whole. */
+    private double wholeSize;
 
     /** The share of full capacity a server is sure to have: it rises evenly over the warm time or faster. */
     private double warmth(Server server) {
@@ -552,6 +557,8 @@
         if (loud == 0) {
             fleetDemand = mine;
         }
+        wholeSize = Math.max(wholeSize,
+                servers.values().stream().filter(v -> v.ready).mapToDouble(v -> v.size).sum());
         for (Server server : servers.values()) {
             server.count = server.demand = server.spareDemand = 0;
             server.report = now - server.reportAt > 4 * set.roundNs() ? Double.NaN : server.report;
@@ -628,7 +635,7 @@
         return warmth(server) >= 1 || relative(server, server.demand + each(slice)) <= coldPart();
     }
 
-    private double calmLoad;
+    private double calmLoad, calmWhole;
 
     /**
      * A cold server's part of what the warm carry. When the fleet is sent a multiple of the most it bore
@@ -636,7 +643,10 @@
      * that it hasn't met cost it more and its speed may be below the listed size.
      */
     private double coldPart() {
-        double multiple = calmLoad <= 0 ? 1 : fleetDemand / fleetSize / calmLoad;
+        // With less than two fifths of the fleet left the load is no calm one, however few flows are dropped:
+        // what the few bore is taken over the whole fleet then. It harms where most was taken out for good.
+        double calm = fleetSize < 0.4 * wholeSize ? calmWhole : calmLoad;
+        double multiple = calm <= 0 ? 1 : fleetDemand / fleetSize / calm;
         return Math.min(1, set.fallMultiple() / 2.5 / Math.max(1, multiple));
     }
 
@@ -973,10 +983,10 @@
                 masksDue.remove(id);
             }
         }
-        // Guards the grace where much of the fleet goes at once and the channel is full: a mask that would leave
-        // a slice bare waits for its line, but no longer than a sixth of the grace. The rest is for the turn, the
-        // queue and the way. A bare slice's flows would find nobody at a server that left; its line goes first
-        // in the next turn. It harms where a draining server would have served them still.
+        // Guards the grace where much of the fleet goes at once and the channel is full: a mask that would
+        // leave a slice bare waits for its line, but no longer than a sixth of the grace. The rest is for the
+        // turn, the queue and the way. A bare slice's flows would find nobody at a server that left; its line
+        // goes first in the next turn. It harms where a draining server would have served them still.
         for (Server server : masks) {
             if (server.leaving() && now - server.bindsSince > set.graceNs() / 6 || !leavesBare(server.id)) {
                 out.add(new Order.Mask(server.id, true));
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -369,6 +369,36 @@
         }
     }
 
+    @Test
+    void aMaskOfAServerThatLeftWaitsForBareSlicesASixthOfTheGraceAtMost() {
+        FakeHost host = FakeHost.of(6, 18_000);
+        for (int i = 0; i < 4; i++) {
+            host.list("s" + i, Listed.DRAINING, 0);
+        }
+        host.run(0.75);
+        assertEquals(4, host.masks.size());
+        host.run(4);
+        for (int slice = 0; slice < 18_000; slice++) {
+            assertFalse(host.open(slice).isEmpty(), "bare " + slice);
+        }
+    }
+
+    @Test
+    void theLoadOfAFewThatAreLeftIsNoCalmLoadForAColdServer() {
+        FakeHost host = FakeHost.of(10, 40);
+        rounds(host, 10, 4);
+        for (int i = 0; i < 7; i++) {
+            host.list("s" + i, Listed.GONE, 0);
+        }
+        rounds(host, 10, 8);
+        host.list("s0", Listed.READY, host.now);
+        rounds(host, 10, 2);
+        host.list("s9", Listed.GONE, 0);
+        rounds(host, 10, 2);
+        long full = host.tables.values().stream().filter(t -> t.getOrDefault("s0", 0.0) > 0.5).count();
+        assertTrue(full <= 2, "slices on the cold server: " + full);
+    }
+
     @Test
     void theOrdinaryTakesAQuarterOfTheGraceInTheChannelSoThatADrainBehindItIsInTime() {
         FakeHost host = FakeHost.of(6, 3000);
