--- a/src/bench/java/puffinbarrow/bench/Bench.java
+++ b/src/bench/java/puffinbarrow/bench/Bench.java
@@ -4,7 +4,7 @@
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
 
-/** Runs the benchmarks named: frames and turn by JMH, spread and streams over sockets. Ratios, not wall times. */
+/** Runs the benchmarks named: frames and turn by JMH, spread and streams over sockets, memory on a disk. Ratios, not wall times. */
 public final class Bench {
     private Bench() {}
 
@@ -17,8 +17,9 @@
                         .addProfiler(GCProfiler.class).build()).run();
                 case "spread" -> SocketBench.spread(100, 300);
                 case "streams" -> SocketBench.streams(1000);
+                case "memory" -> puffinbarrow.memory.MemoryBench.main(new String[0]);
                 default -> throw new IllegalArgumentException("no benchmark " + name
-                        + ", expected frames, turn, spread or streams");
+                        + ", expected frames, turn, spread, streams or memory");
             }
         }
     }
--- /dev/null
+++ b/src/bench/java/puffinbarrow/memory/MemoryBench.java
@@ -0,0 +1,330 @@
+package puffinbarrow.memory;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.sql.Connection;
+import java.sql.DriverManager;
+import java.sql.PreparedStatement;
+import java.sql.SQLException;
+import java.sql.Statement;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Stream;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Order;
+
+/** What memory costs: the hand-off on the decision thread, a commit, a start. One run, each against another way. */
+public final class MemoryBench {
+    private static final long SECOND = 1_000_000_000L;
+
+    private MemoryBench() {}
+
+    static Facts.OfServer server(int i, long at) {
+        return new Facts.OfServer("10.0." + i / 250 + "." + i % 250 + ":8080", at, 0, List.of(1L, at), List.of(at),
+                List.of(at), "well", 0, 1, 1e8, 0.5);
+    }
+
+    static Facts.OfSlice slice(int i, long at) {
+        return new Facts.OfSlice(i, at, List.of(new Facts.Line("10.0.0." + i % 250 + ":8080", 1),
+                new Facts.Line("10.0.1." + i % 250 + ":8080", 0.03)), 12, at);
+    }
+
+    static List<Facts.Fact> state(int servers, int slices, long at) {
+        List<Facts.Fact> facts = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            facts.add(server(i, at));
+        }
+        for (int i = 0; i < slices; i++) {
+            facts.add(slice(i, at));
+        }
+        return facts;
+    }
+
+    public static void main(String[] args) throws Exception {
+        Path folder = Files.createTempDirectory("memory-bench");
+        try {
+            handOff(folder.resolve("hand"));
+            commits(folder);
+            start(folder);
+        } finally {
+            try (Stream<Path> all = Files.walk(folder)) {
+                all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+            }
+        }
+    }
+
+    /** Rounds of sums at 80 servers and 300 slices, a tenth of the slices moved in each. */
+    private static void handOff(Path folder) {
+        Keeper keeper = Keeper.open(folder, 64 << 20, 200_000);
+        Notes notes = new Notes(1);
+        List<Event.Entry> entries = new ArrayList<>();
+        List<Event> round = new ArrayList<>();
+        for (int i = 0; i < 80; i++) {
+            String id = "10.0.0." + i + ":8080";
+            entries.add(new Event.Entry(id, 0, 0, 0, Event.Listed.READY, 1, 5));
+            round.add(new Event.ServerSums(id, 0, SECOND, 1, 0, 9, Map.of(Event.Measure.BUSY, 0.5)));
+        }
+        notes.heard(1, List.of(new Event.ServerList(Event.ListKind.WHOLE, entries)));
+        for (int i = 0; i < 300; i++) {
+            round.add(new Event.SliceDemand(i, 0, 9, 0, SECOND));
+        }
+        long spent = 0;
+        int measured = 0;
+        for (int n = 0; n < 400; n++) {
+            List<Order> orders = new ArrayList<>();
+            for (int i = 0; i < 30; i++) {
+                orders.add(new Order.SetLine((n * 30 + i) % 300, "10.0.0." + (n + i) % 80 + ":8080", 1));
+            }
+            long before = System.nanoTime();
+            notes.heard(n, round);
+            notes.ordered(orders);
+            keeper.offer(notes.changed(n, n, false, List.of()));
+            if (n >= 200) {
+                spent += System.nanoTime() - before;
+                measured++;
+            }
+            pause(10);
+        }
+        System.out.printf(Locale.ROOT, "hand-off of a round at 80 servers and 300 slices, 30 of them moved: %.0f us on the "
+                + "decision thread, %d of 400 rounds committed together%n", spent / 1e3 / measured,
+                400 - keeper.commits());
+        // What it writes at the pace of rounds, when nothing coalesces.
+        long bytes = keeper.bytes();
+        for (int n = 0; n < 10; n++) {
+            notes.heard(n, round);
+            notes.ordered(List.of(new Order.SetLine(n, "10.0.0." + n + ":8080", 0.5)));
+            keeper.offer(notes.changed(n, n, false, List.of()));
+            pause(1000);
+        }
+        System.out.printf(Locale.ROOT, "at a round a second: %.0f bytes a second%n", (keeper.bytes() - bytes) / 10.0);
+        keeper.close();
+    }
+
+    private static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException stop) {
+            throw new IllegalStateException(stop);
+        }
+    }
+
+    /** The same commits of 80 servers and 30 slices, forced each, to our journal and to SQLite (WAL, full sync). */
+    private static void commits(Path folder) throws Exception {
+        int count = 300;
+        for (int turn = 0; turn < 2; turn++) {
+            long began = System.nanoTime();
+            try (Store store = Store.open(new RealDisk(folder.resolve("ours" + turn)), 64 << 20, new ArrayList<>())) {
+                for (int i = 0; i < count; i++) {
+                    store.commit(state(80, 30, i), List.of());
+                }
+            }
+            double ours = (System.nanoTime() - began) / 1e6 / count;
+            began = System.nanoTime();
+            try (Connection db = database(folder.resolve("commits" + turn + ".db"))) {
+                for (int i = 0; i < count; i++) {
+                    insert(db, state(80, 30, i));
+                }
+            }
+            double sqlite = (System.nanoTime() - began) / 1e6 / count;
+            System.out.printf(Locale.ROOT, "a forced commit of 110 facts: ours %.2f ms, SQLite %.2f ms, ratio %.2f%n", ours,
+                    sqlite, ours / sqlite);
+        }
+    }
+
+    private static Connection database(Path file) throws SQLException {
+        Connection db = DriverManager.getConnection("jdbc:sqlite:" + file);
+        try (Statement statement = db.createStatement()) {
+            statement.execute("pragma journal_mode=wal");
+            statement.execute("pragma synchronous=full");
+            statement.execute("create table facts (key text primary key, value blob)");
+        }
+        db.setAutoCommit(false);
+        return db;
+    }
+
+    private static void insert(Connection db, List<Facts.Fact> facts) throws SQLException {
+        Codec codec = new Codec();
+        try (PreparedStatement put = db.prepareStatement("insert or replace into facts values (?, ?)")) {
+            for (Facts.Fact fact : facts) {
+                codec.begin();
+                codec.add(fact);
+                byte[] bytes = new byte[codec.bytes()];
+                codec.end(1).get(bytes, 0, bytes.length);
+                put.setString(1, fact.key());
+                put.setBytes(2, bytes);
+                put.addBatch();
+            }
+            put.executeBatch();
+        }
+        db.commit();
+    }
+
+    /** A start with 10,000 servers and 100,000 slices: ours, the same in plain Jackson CBOR, and out of SQLite. */
+    private static void start(Path folder) throws Exception {
+        List<Facts.Fact> all = state(10_000, 100_000, 7);
+        Path ours = folder.resolve("large");
+        try (Store store = Store.open(new RealDisk(ours), 1 << 30, new ArrayList<>())) {
+            for (int from = 0; from < all.size(); from += 10_000) {
+                store.commit(all.subList(from, Math.min(all.size(), from + 10_000)), List.of());
+            }
+            store.compact();
+        }
+        Path packed = folder.resolve("large.cbor");
+        writeCbor(packed, all);
+        Path file = folder.resolve("large.db");
+        try (Connection db = database(file)) {
+            insert(db, all);
+        }
+        double[] best = {1e9, 1e9, 1e9};
+        for (int turn = 0; turn < 5; turn++) {
+            long began = System.nanoTime();
+            int found = Store.read(new RealDisk(ours)).image().size();
+            best[0] = Math.min(best[0], (System.nanoTime() - began) / 1e6);
+            began = System.nanoTime();
+            int read = readCbor(packed);
+            best[1] = Math.min(best[1], (System.nanoTime() - began) / 1e6);
+            began = System.nanoTime();
+            int rows = readDatabase(file);
+            best[2] = Math.min(best[2], (System.nanoTime() - began) / 1e6);
+            if (found != all.size() || read != all.size() || rows != all.size()) {
+                throw new IllegalStateException(found + " " + read + " " + rows);
+            }
+        }
+        System.out.printf(Locale.ROOT, "a start with 10,000 servers and 100,000 slices: ours %.0f ms, CBOR %.0f ms (ratio "
+                + "%.2f), SQLite %.0f ms (ratio %.2f); %.1f MB%n", best[0], best[1], best[0] / best[1], best[2],
+                best[0] / best[2], size(ours) / 1e6);
+    }
+
+    private static long size(Path folder) throws IOException {
+        try (Stream<Path> all = Files.list(folder)) {
+            return all.mapToLong(p -> p.toFile().length()).sum();
+        }
+    }
+
+    private static void writeCbor(Path file, List<Facts.Fact> all) throws IOException {
+        try (OutputStream to = new BufferedOutputStream(Files.newOutputStream(file));
+                JsonGenerator out = new CBORFactory().createGenerator(to)) {
+            out.writeStartArray();
+            for (Facts.Fact fact : all) {
+                out.writeStartArray();
+                if (fact instanceof Facts.OfServer f) {
+                    out.writeString(f.id());
+                    out.writeNumber(f.atNs());
+                    out.writeNumber(f.drainingSinceNs());
+                    for (List<Long> times : List.of(f.starts(), f.falls(), f.returns())) {
+                        out.writeStartArray();
+                        for (long time : times) {
+                            out.writeNumber(time);
+                        }
+                        out.writeEndArray();
+                    }
+                    out.writeString(f.standing());
+                    out.writeNumber(f.holdNs());
+                    out.writeNumber(f.size());
+                    out.writeNumber(f.tookNs());
+                    out.writeNumber(f.load());
+                } else if (fact instanceof Facts.OfSlice f) {
+                    out.writeNumber(f.slice());
+                    out.writeNumber(f.atNs());
+                    out.writeNumber(f.demand());
+                    out.writeNumber(f.version());
+                    for (Facts.Line line : f.lines()) {
+                        out.writeString(line.server());
+                        out.writeNumber(line.weight());
+                    }
+                }
+                out.writeEndArray();
+            }
+            out.writeEndArray();
+        }
+    }
+
+    private static int readCbor(Path file) throws IOException {
+        Facts.Image image = new Facts.Image();
+        try (InputStream from = new BufferedInputStream(Files.newInputStream(file));
+                JsonParser in = new CBORFactory().createParser(from)) {
+            in.nextToken();
+            while (in.nextToken() == JsonToken.START_ARRAY) {
+                if (in.nextToken() == JsonToken.VALUE_STRING) {
+                    String id = in.getText();
+                    long at = number(in);
+                    long draining = number(in);
+                    List<Long> starts = times(in);
+                    List<Long> falls = times(in);
+                    List<Long> returns = times(in);
+                    in.nextToken();
+                    String standing = in.getText();
+                    long hold = number(in);
+                    in.nextToken();
+                    double size = in.getDoubleValue();
+                    in.nextToken();
+                    double took = in.getDoubleValue();
+                    in.nextToken();
+                    image.put(new Facts.OfServer(id, at, draining, starts, falls, returns, standing, hold, size, took,
+                            in.getDoubleValue()));
+                    in.nextToken();
+                } else {
+                    int slice = in.getIntValue();
+                    long at = number(in);
+                    in.nextToken();
+                    double demand = in.getDoubleValue();
+                    long version = number(in);
+                    List<Facts.Line> lines = new ArrayList<>();
+                    while (in.nextToken() != JsonToken.END_ARRAY) {
+                        String server = in.getText();
+                        in.nextToken();
+                        lines.add(new Facts.Line(server, in.getDoubleValue()));
+                    }
+                    image.put(new Facts.OfSlice(slice, at, lines, demand, version));
+                }
+            }
+        }
+        return image.size();
+    }
+
+    private static long number(JsonParser in) throws IOException {
+        in.nextToken();
+        return in.getLongValue();
+    }
+
+    private static List<Long> times(JsonParser in) throws IOException {
+        List<Long> times = new ArrayList<>();
+        in.nextToken();
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            times.add(in.getLongValue());
+        }
+        return times;
+    }
+
+    private static int readDatabase(Path file) throws Exception {
+        Facts.Image image = new Facts.Image();
+        try (Connection db = DriverManager.getConnection("jdbc:sqlite:" + file);
+                Statement statement = db.createStatement();
+                var rows = statement.executeQuery("select value from facts")) {
+            while (rows.next()) {
+                Codec.batch(java.nio.ByteBuffer.wrap(rows.getBytes(1)), Codec.VERSION, new Codec.Into() {
+                    @Override
+                    public void fact(Facts.Fact fact) {
+                        image.put(fact);
+                    }
+
+                    @Override
+                    public void gone(String key) {}
+                });
+            }
+        }
+        return image.size();
+    }
+}
--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -31,7 +31,7 @@
     /** ILL, OUT and RETURNING are masked; OUT and RETURNING also lose their lines. */
     private enum State { WELL, SUSPECT, ILL, TRIAL, OUT, RETURNING }
 
-    private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, RELISTED, EMPTIED, NEEDED }
+    private enum Input { GOOD, BAD, AWFUL, HOLD_OVER, LEAVES, RESTARTS, RELISTED, EMPTIED, NEEDED, RECALLED }
 
     private enum Effect { NONE, HOLD, CLEAR }
 
@@ -40,6 +40,7 @@
     private static final Set<State> ANY = EnumSet.allOf(State.class);
     private static final List<Row> TABLE = List.of(
             new Row(EnumSet.of(State.WELL), Input.BAD, State.SUSPECT, Effect.NONE),
+            new Row(EnumSet.of(State.WELL), Input.RECALLED, State.SUSPECT, Effect.NONE),
             new Row(EnumSet.of(State.SUSPECT, State.TRIAL), Input.BAD, State.ILL, Effect.HOLD),
             new Row(EnumSet.of(State.WELL, State.SUSPECT, State.TRIAL), Input.AWFUL, State.ILL, Effect.HOLD),
             new Row(EnumSet.of(State.SUSPECT), Input.GOOD, State.WELL, Effect.NONE),
@@ -227,11 +228,54 @@
             acknowledged(e.proxy(), -1);
         } else if (event instanceof Event.Probed e) {
             learnProbe(e);
+        } else if (event instanceof Event.Recalled e) {
+            recall(e);
         } else if (event instanceof Event.InForce e) {
             acknowledged(e.proxy(), e.mark());
         }
     }
 
+    /**
+     * Guards the first rounds after a restart, when nothing is heard yet: a server that flapped is suspect
+     * until its sums are good, holds go on doubling, a fleet that shed seconds ago is not let in whole. It
+     * harms where the fleet has changed meanwhile: a sound server gets orphans last for a round or two.
+     */
+    private void recall(Event.Recalled e) {
+        Server server = servers.get(e.server());
+        double sure = e.value() * e.confidence();
+        // As likely as not is enough to be careful, not to believe that it goes on.
+        boolean likely = e.confidence() >= 0.5;
+        switch (e.kind()) {
+            case FLAPPING -> {
+                if (server != null && likely) {
+                    step(server, Input.RECALLED);
+                }
+            }
+            case HOLD_NS -> {
+                if (server != null) {
+                    server.holdNs = Math.max(server.holdNs, (long) sure);
+                }
+            }
+            case CALM_LOAD -> calmLoad = likely ? Math.max(calmLoad, e.value()) : calmLoad;
+            case CALM_WHOLE -> calmWhole = likely ? Math.max(calmWhole, e.value()) : calmWhole;
+            case SHED -> shed = Math.max(shed, Math.min(sure, 0.8 * (set.groups().size() - 1)));
+            case STRAINED -> strained |= likely;
+        }
+        levelsDue = true;
+    }
+
+    @Override
+    public List<Event.Recalled> known() {
+        List<Event.Recalled> known = new ArrayList<>(List.of(
+                new Event.Recalled(Event.Recall.CALM_LOAD, "", calmLoad, 1),
+                new Event.Recalled(Event.Recall.CALM_WHOLE, "", calmWhole, 1),
+                new Event.Recalled(Event.Recall.SHED, "", shed, 1),
+                new Event.Recalled(Event.Recall.STRAINED, "", strained ? 1 : 0, 1)));
+        servers.values().stream().filter(v -> v.holdNs > 0).forEach(v ->
+                known.add(new Event.Recalled(Event.Recall.HOLD_NS, v.id, v.holdNs, 1)));
+        return known;
+    }
+
     /** The slice of that number; one that isn't known gets a blank that is thrown away. */
     private Slice slice(int number) {
         return number >= 0 && number < slices.length ? slices[number] : new Slice(number);
--- /dev/null
+++ b/src/main/java/puffinbarrow/cli/BenchCommands.java
@@ -0,0 +1,159 @@
+package puffinbarrow.cli;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import puffinbarrow.Logic;
+import puffinbarrow.audit.Audit;
+import puffinbarrow.config.Problem;
+import puffinbarrow.day.Day;
+import puffinbarrow.day.Page;
+import puffinbarrow.day.Script;
+import puffinbarrow.memory.Kills;
+
+/** Long runs that prove something, kept out of the tests. */
+@Command(name = "bench", mixinStandardHelpOptions = true, description = "Long runs that prove something.",
+        subcommands = {BenchCommands.MemoryKill.class, BenchCommands.MemoryDays.class, BenchCommands.MemoryWriter.class})
+final class BenchCommands implements Callable<Integer> {
+    @Override
+    public Integer call() {
+        new picocli.CommandLine(this).usage(System.err);
+        return Commands.USAGE;
+    }
+
+    /** The command line of this program, for a child process of its own. */
+    static List<String> self(String... arguments) {
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC",
+                "-cp", System.getProperty("java.class.path"), "puffinbarrow.cli.Main"));
+        command.addAll(List.of(arguments));
+        return command;
+    }
+
+    @Command(name = "memory-kill", mixinStandardHelpOptions = true,
+            description = "Kills a writing process again and again; every start must find a whole state.")
+    static final class MemoryKill implements Callable<Integer> {
+        @Option(names = "--rounds", paramLabel = "N", description = "how often (${DEFAULT-VALUE})")
+        private int rounds = 1000;
+
+        @Option(names = "--seed", paramLabel = "N", description = "when to kill (${DEFAULT-VALUE})")
+        private long seed = 1;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            System.out.println("seed " + seed);
+            Path folder = Kills.folder();
+            Kills.Outcome outcome = Kills.run(self("bench", "memory-writer", folder.toString()), folder, rounds, seed);
+            System.out.println(outcome.rounds() + " kills, " + outcome.commits() + " commits: " + outcome.whole()
+                    + " starts found a whole state, " + outcome.ignored() + " ignored what was there, "
+                    + outcome.wrong() + " wrong");
+            outcome.evidence().stream().limit(10).forEach(System.out::println);
+            return outcome.wrong() == 0 ? Commands.FINE : Commands.RULE;
+        }
+    }
+
+    @Command(name = "memory-days", mixinStandardHelpOptions = true,
+            description = "Days with a restart in the middle of flapping and drains, with memory against without.")
+    static final class MemoryDays implements Callable<Integer> {
+        @Option(names = "--seeds", paramLabel = "N", description = "days of each kind (${DEFAULT-VALUE})")
+        private int seeds = 10;
+
+        @Option(names = "--at-once", paramLabel = "N", description = "days played at a time (${DEFAULT-VALUE})")
+        private int atOnce = 4;
+
+        private static final String FLEET = """
+                coordinators 1
+                proxies 6
+                backends 12 cores 4
+                slices 48
+                rate 110
+                length 22s
+                notice 300ms to 900ms
+                takeover 60s
+                at 10s coordinator 0 killed for 1s
+                """;
+        /** Memory is right: what flapped and drained goes on. Wrong: most of the fleet is replaced meanwhile. */
+        private static final java.util.Map<String, String> KINDS = new java.util.TreeMap<>(java.util.Map.of(
+                "right", "at 1s backends 3 flap 900ms every 3s for 18s\nat 8s backends 2 preempt for 6s\n",
+                "wrong", "at 1s backends 3 flap 900ms every 3s for 8s\nat 9500ms backends 50% preempt for 1s\n"));
+
+        private record Run(double service, double after, long struck, List<Audit.Finding> broken) {}
+
+        @Override
+        public Integer call() throws Exception {
+            Logs.set(false, "off");
+            boolean sound = true;
+            ExecutorService runs = Executors.newFixedThreadPool(atOnce);
+            for (var kind : KINDS.entrySet()) {
+                List<Future<Run[]>> pairs = new ArrayList<>();
+                for (int i = 0; i < seeds; i++) {
+                    long seed = 100 + i;
+                    pairs.add(runs.submit(() -> new Run[] {day(kind.getValue(), seed, false),
+                        day(kind.getValue(), seed, true)}));
+                }
+                List<Double> gain = new ArrayList<>();
+                double[] sums = new double[6];
+                for (Future<Run[]> pair : pairs) {
+                    Run[] both = pair.get();
+                    gain.add(both[1].after() - both[0].after());
+                    for (int k = 0; k < 2; k++) {
+                        sums[3 * k] += both[k].service();
+                        sums[3 * k + 1] += both[k].after();
+                        sums[3 * k + 2] += both[k].struck();
+                        sound &= both[k].broken().isEmpty();
+                        String arm = kind.getKey() + (k == 0 ? " without" : " with");
+                        both[k].broken().forEach(f -> System.out.println("  " + arm + ": " + f));
+                    }
+                }
+                double mean = gain.stream().mapToDouble(Double::doubleValue).average().orElse(0);
+                double error = Math.sqrt(gain.stream().mapToDouble(g -> (g - mean) * (g - mean)).sum()
+                        / Math.max(1, seeds - 1) / seeds);
+                System.out.printf(Locale.ROOT, "memory %s, %d seeds: service %.4f without, %.4f with; in the 10 s after the "
+                        + "restart %.4f, %.4f (difference %+.4f, standard error %.4f); sends to flapping or drained "
+                        + "servers then %.1f, %.1f%n", kind.getKey(), seeds, sums[0] / seeds, sums[3] / seeds,
+                        sums[1] / seeds, sums[4] / seeds, mean, error, sums[2] / seeds, sums[5] / seeds);
+            }
+            runs.shutdown();
+            System.out.println(sound ? "all rules kept" : "A RULE BROKE");
+            return sound ? Commands.FINE : Commands.RULE;
+        }
+
+        private static Run day(String troubles, long seed, boolean memory) throws Exception {
+            List<Problem> problems = new ArrayList<>();
+            Script script = Script.parse("memory.day", FLEET + troubles + (memory ? "memory on\n" : ""), problems);
+            if (!problems.isEmpty()) {
+                throw new IllegalStateException(problems.toString());
+            }
+            script.seed = seed;
+            try (Day day = new Day(script, new PrintStream(OutputStream.nullOutputStream()),
+                    new Day.Bend(Logic::new, List.of()))) {
+                Page page = day.run();
+                return new Run(page.service(), page.service(11_000_000_000L, 21_000_000_000L), page.sentToStruck(),
+                        page.verdict().findings());
+            }
+        }
+    }
+
+    @Command(name = "memory-writer", hidden = true, description = "The process that memory-kill kills.")
+    static final class MemoryWriter implements Callable<Integer> {
+        @Parameters(paramLabel = "FOLDER")
+        private Path folder;
+
+        @Override
+        public Integer call() throws IOException {
+            Kills.write(folder, System.out);
+            return Commands.FINE;
+        }
+    }
+}
--- a/src/main/java/puffinbarrow/config/CoordinatorConfig.java
+++ b/src/main/java/puffinbarrow/config/CoordinatorConfig.java
@@ -58,6 +58,8 @@
     public String logLevel = "info";
     public Path portFile;
     public Path failedBatches;
+    public Path memory;
+    public long memoryBytes = 64 << 20;
 
     /** Keyword to its words, as help and as what "did you mean" knows. */
     static final Map<String, String> KEYWORDS = new LinkedHashMap<>();
@@ -74,7 +76,8 @@
             {"cold-share", "SHARE"}, {"fall-multiple", "N for TIME"}, {"probes", "on|off"},
             {"gone", "binds|stays"}, {"tick", "TIME"}, {"inbox", "FRAMES"}, {"outbound", "SIZE"},
             {"frame", "SIZE"}, {"hello", "TIME"}, {"idle", "TIME"}, {"log", "text|json LEVEL"},
-            {"port-file", "PATH"}, {"failed-batches", "FOLDER"}, {"include", "FILE"}};
+            {"port-file", "PATH"}, {"failed-batches", "FOLDER"},
+            {"memory", "FOLDER [at-most SIZE]"}, {"include", "FILE"}};
         for (String[] each : all) {
             KEYWORDS.put(each[0], each[1]);
         }
@@ -214,6 +217,12 @@
             }
             case "port-file" -> portFile = Path.of(w.text("a path"));
             case "failed-batches" -> failedBatches = Path.of(w.text("a folder"));
+            case "memory" -> {
+                memory = Path.of(w.text("a folder"));
+                if (w.take("at-most")) {
+                    memoryBytes = w.size("the most it may take of the disk");
+                }
+            }
             default -> throw new IllegalStateException(keyword);
         }
         w.end();
--- a/src/main/java/puffinbarrow/control/Event.java
+++ b/src/main/java/puffinbarrow/control/Event.java
@@ -41,5 +41,11 @@
 
     record StoredLine(int slice, String server, double weight) implements Event {}
 
+    /** What a former life can have learned: that a server flaps, a hold it had, what the fleet bore, how it shed. */
+    enum Recall { FLAPPING, HOLD_NS, CALM_LOAD, CALM_WHOLE, SHED, STRAINED }
+
+    /** Something learned before a restart; {@code server} is empty where it is about the fleet. Confidence 0 to 1. */
+    record Recalled(Recall kind, String server, double value, double confidence) implements Event {}
+
     record InForce(int proxy, int mark, long tookNs) implements Event {}
 }
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -24,6 +24,7 @@
 import puffinbarrow.config.CoordinatorConfig;
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
+import puffinbarrow.memory.Keeper;
 import puffinbarrow.net.Link;
 import puffinbarrow.net.Net;
 import puffinbarrow.proto.Frame;
@@ -43,6 +44,8 @@
     private static final long FAILURE_SPAN_NS = 60_000_000_000L;
     /** Batches kept for replay; the first ones tell the cause, the rest repeat it. */
     private static final int BATCHES_KEPT = 20;
+    /** Facts that may wait for the disk: ten thousand servers with their slices, some tens of megabytes. */
+    private static final int MEMORY_KEYS = 200_000;
     /** A replay answers a probe when its record does, in whatever real time that takes. */
     private static final long REPLAY_PROBE_MS = 3_600_000;
 
@@ -50,6 +53,7 @@
     private final Meters meters = new Meters();
     private final Net net;
     private final Core core;
+    private final Keeper keeper;
     private final Prober prober;
     private final long incarnation;
     private final Map<Integer, Stream> proxies = new ConcurrentHashMap<>();
@@ -84,7 +88,16 @@
         this.incarnation = System.nanoTime() ^ (long) config.number << 48;
         this.net = new Net("c" + config.number, 2);
         this.prober = addresses == null ? new Prober(net) : new Prober(net, addresses, REPLAY_PROBE_MS);
-        this.core = new Core(config, factory, this, meters, tempo);
+        this.keeper = config.memory == null ? null : Keeper.open(config.memory, config.memoryBytes, MEMORY_KEYS);
+        this.core = new Core(config, factory, this, keeper == null ? Core.Memory.NONE
+                : new Remembering(keeper, incarnation), meters, tempo);
+        if (keeper != null) {
+            meters.gauge("memory.well", keeper, k -> k.well() ? 1 : 0);
+            meters.gauge("memory.skipped", keeper, Keeper::skipped);
+            meters.gauge("memory.commits", keeper, Keeper::commits);
+            meters.gauge("memory.bytes", keeper, Keeper::bytes);
+            meters.gauge("memory.failures", keeper, Keeper::failures);
+        }
     }
 
     /** Listens, dials and decides from now on. */
@@ -178,6 +191,7 @@
         }
         if (orderly) {
             core.bye();
+            core.remember();
         }
         ended.countDown();
     }
@@ -510,6 +524,9 @@
         running = false;
         LockSupport.unpark(thread);
         end();
+        if (keeper != null) {
+            keeper.kill();
+        }
     }
 
     /** In order: no new streams, a goodbye on each, what is queued is sent. */
@@ -535,6 +552,9 @@
             Thread.currentThread().interrupt();
         }
         end();
+        if (keeper != null) {
+            keeper.close();
+        }
         LOG.atInfo().addKeyValue("coordinator", config.number).log("ended");
     }
 
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -42,6 +42,27 @@
         }
     }
 
+    /** What outlives a restart; all calls come on the decision thread and none may wait. */
+    public interface Memory {
+        /** What a former life knew that is still worth something, given the first list of this one. */
+        List<Event.Recalled> recall(List<Event.Entry> list);
+
+        void decided(long now, List<Event> events, List<Order> orders, Controller controller);
+
+        /** An ordered end. */
+        default void ends(Controller controller) {}
+
+        Memory NONE = new Memory() {
+            @Override
+            public List<Event.Recalled> recall(List<Event.Entry> list) {
+                return List.of();
+            }
+
+            @Override
+            public void decided(long now, List<Event> events, List<Order> orders, Controller controller) {}
+        };
+    }
+
     private record Wake(long atNs, long label, long number) implements Comparable<Wake> {
         @Override
         public int compareTo(Wake other) {
@@ -72,6 +93,8 @@
     private final CoordinatorConfig config;
     private final Controller controller;
     private final Surroundings around;
+    private final Memory memory;
+    private boolean recalled;
     private final Meters meters;
     private final boolean sliced;
     private final Inbox inbox;
@@ -94,8 +117,9 @@
     private long turn;
     private long tickAt = Long.MIN_VALUE;
 
-    public Core(CoordinatorConfig config, Controller.Factory factory, Surroundings around, Meters meters,
-            Tempo tempo) {
+    public Core(CoordinatorConfig config, Controller.Factory factory, Surroundings around, Memory memory,
+            Meters meters, Tempo tempo) {
+        this.memory = memory;
         this.config = config;
         this.around = around;
         this.meters = meters;
@@ -181,6 +205,7 @@
         }
         turn++;
         carryOut(now, orders);
+        memory.decided(now, events, orders, controller);
     }
 
     private void send(long now) {
@@ -211,6 +236,10 @@
             }
         } else if (input instanceof Input.FromRegistry in) {
             events.add(new Event.ServerList(in.list().kind(), in.list().entries()));
+            if (!recalled && in.list().kind() != Event.ListKind.BROKEN) {
+                recalled = true;
+                events.addAll(memory.recall(in.list().entries()));
+            }
             meters.count("lists." + in.list().kind().name().toLowerCase(java.util.Locale.ROOT));
         } else if (input instanceof Input.RegistryUp in) {
             registryUp(in.outlet(), events);
@@ -533,6 +562,11 @@
         peers.values().forEach(p -> p.send(bytes.duplicate()));
     }
 
+    /** The last word to memory; on the decision thread, at an ordered end. */
+    void remember() {
+        memory.ends(controller);
+    }
+
     private Map<String, Object> state() {
         Map<String, Object> state = new TreeMap<>();
         state.put("coordinator", config.number + " of " + config.of);
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -12,6 +15,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import puffinbarrow.audit.Audit;
@@ -54,7 +58,10 @@
     private final Map<Integer, InetSocketAddress> addresses = new TreeMap<>();
     private final List<PlainProxy> proxies = new ArrayList<>();
     private final Map<String, Backend> backends = new TreeMap<>();
+    private final Path memories;
     private final Set<String> troubled = Collections.synchronizedSet(new HashSet<>());
+    /** Servers that were made to flap or to drain. */
+    private final Set<String> struck = Collections.synchronizedSet(new HashSet<>());
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
     private final UniformRandomProvider chance;
     private int made;
@@ -65,6 +72,7 @@
         this.out = out;
         this.bend = bend;
         this.chance = source(1);
+        this.memories = script.memory ? Files.createTempDirectory("puffinbarrow-day") : null;
         this.net = new Net("fleet", 4);
         this.judged = config(0, List.of());
         this.registry = new Registry(net, recorder, source(2), script.noticeLowNs, script.noticeHighNs);
@@ -108,6 +116,9 @@
         if (registry != null) {
             text.append("registry ").append(text(registry.address())).append(script.ask ? " ask\n" : " push\n");
             text.append("store ").append(text(store.address())).append('\n');
+            if (memories != null) {
+                text.append("memory ").append(memories.resolve("c" + number)).append('\n');
+            }
             if (addresses.containsKey(number)) {
                 text.append("listen ").append(text(addresses.get(number))).append('\n');
             }
@@ -220,7 +231,18 @@
         return new Page(script, judged, verdict, flows, clients.intended(), clients.openFlows(), beganAt,
                 recorder.lost(), figures, List.copyOf(log), Signs.of(script, seen, flows, beganAt), store.handed(), store.refusedWrites(),
                 proxies.stream().mapToLong(PlainProxy::retried).sum(),
-                backends.values().stream().filter(Backend::fell).map(Backend::id).toList());
+                backends.values().stream().filter(Backend::fell).map(Backend::id).toList(), sentToStruck(seen));
+    }
+
+    /** Attempts at servers that flap or were drained, in the ten seconds after each coordinator's restart. */
+    private long sentToStruck(List<Seen> seen) {
+        long count = 0;
+        for (Script.Trouble t : script.troubles) {
+            long from = beganAt + t.atNs() + t.forNs();
+            count += t.kind() != Script.Kind.KILL ? 0 : seen.stream().filter(s -> s instanceof Seen.Sent sent
+                    && sent.at() >= from && sent.at() < from + 10 * SECOND && struck.contains(sent.server())).count();
+        }
+        return count;
     }
 
     /** The day's rules: where a channel was slow or stood, times in the rules grow, as WIRE's fifth rule says. */
@@ -348,6 +370,7 @@
                 }
                 case FLAP -> {
                     List<Backend> chosen = choose(t.pick());
+                    chosen.forEach(b -> struck.add(b.id()));
                     during(t, chosen, b -> { }, this::returns);
                     for (long at = 0; at + (long) t.factor() < t.forNs(); at += t.everyNs()) {
                         after(at, () -> chosen.forEach(this::dies));
@@ -457,6 +480,7 @@
     }
 
     private void drains(List<Backend> chosen) {
+        chosen.forEach(b -> struck.add(b.id()));
         chosen.forEach(b -> b.drain(false));
         registry.set(chosen.stream().map(b -> entry(b, Event.Listed.DRAINING)).toList());
     }
@@ -527,5 +551,12 @@
         store.close();
         backends.values().forEach(Backend::die);
         net.close();
+        if (memories != null) {
+            try (Stream<Path> all = Files.walk(memories)) {
+                all.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
+            } catch (IOException left) {
+                out.println("left behind: " + memories);
+            }
+        }
     }
 }
--- a/src/main/java/puffinbarrow/day/Page.java
+++ b/src/main/java/puffinbarrow/day/Page.java
@@ -12,7 +12,7 @@
 /** The figures of a day, and the page that shows them. All figures are of stand-in servers on one machine. */
 public record Page(Script script, CoordinatorConfig config, Audit.Verdict verdict, List<Clients.Flow> flows,
         long intended, long open, long beganAt, long recordsLost, Map<Integer, Map<String, Double>> coordinators,
-        List<String> troubles, List<String> signs, long handed, long refusedWrites, long retried, List<String> fell) {
+        List<String> troubles, List<String> signs, long handed, long refusedWrites, long retried, List<String> fell, long sentToStruck) {
 
     private static final long SECOND = 1_000_000_000L;
     private static final long WINDOW = 10 * SECOND;
@@ -42,6 +42,11 @@
         return worst;
     }
 
+    /** The same for flows begun within that part of the day. */
+    public double service(long fromNs, long toNs) {
+        return service(between(fromNs, toNs));
+    }
+
     private List<Clients.Flow> between(long from, long to) {
         return flows.stream().filter(f -> f.startNs() - beganAt >= from && f.startNs() - beganAt < to).toList();
     }
--- a/src/main/java/puffinbarrow/day/Script.java
+++ b/src/main/java/puffinbarrow/day/Script.java
@@ -45,12 +45,13 @@
     public long noticeLowNs = 400_000_000L, noticeHighNs = 1_500_000_000L;
     public long takeoverNs = 1_500_000_000L;
     public boolean ask;
+    public boolean memory;
     public final List<String> settings = new ArrayList<>();
     public final Map<String, double[]> work = new TreeMap<>();
     public final List<Trouble> troubles = new ArrayList<>();
 
     private static final List<String> KEYWORDS = List.of("coordinators", "proxies", "backends", "zones", "slices",
-            "rate", "length", "seed", "retries", "cold", "transit", "sums-late", "notice", "takeover", "list", "set",
+            "rate", "length", "seed", "retries", "cold", "transit", "sums-late", "notice", "takeover", "list", "memory", "set",
             "at");
 
     public static Script read(Path file, List<Problem> problems) {
@@ -114,6 +115,7 @@
                 }
             }
             case "takeover" -> takeoverNs = w.time("until the store hands charges on");
+            case "memory" -> memory = w.onOff();
             case "list" -> ask = w.oneOf("push", "ask").equals("ask");
             case "set" -> {
                 StringBuilder line = new StringBuilder();
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -525,4 +525,31 @@
         assertTrue(after < before, before + " -> " + after);
         assertTrue(host.tables.isEmpty());
     }
+
+    @Test
+    void aServerRecalledAsFlappingIsSuspectUntilItsSumsAreGoodAndGetsNoOrphans() {
+        FakeHost host = new FakeHost(FakeHost.settings(8, false, 0));
+        host.tell(new Event.ServerList(Event.ListKind.STALE_COPY, List.of(FakeHost.entry("s3", Listed.READY, 0))),
+                new Event.Recalled(Event.Recall.FLAPPING, "s3", 3, 0.9));
+        host.begin(4, 8);
+        host.list("s0", Listed.GONE, 0);
+        host.run(0.5);
+        assertEquals(2, host.tables.values().stream().filter(t -> t.getOrDefault("s3", 0.0) > 0.5).count());
+        rounds(host, 4, 2);
+        assertTrue(host.all(Order.Log.class).stream().anyMatch(l -> l.text().equals("s3 SUSPECT GOOD -> WELL")));
+    }
+
+    @Test
+    void aFleetRecalledAsSheddingIsLetInLessAndNotTriedAgainAndForgottenOverloadIsNot() {
+        for (double confidence : new double[] {0.9, 0.1}) {
+            FakeHost host = new FakeHost(FakeHost.settings(8, false, 0));
+            host.tell(new Event.Recalled(Event.Recall.SHED, "", 0.8, confidence),
+                    new Event.Recalled(Event.Recall.STRAINED, "", 1, confidence));
+            host.begin(4, 8);
+            double least = host.all(Order.SetLevel.class).stream().mapToDouble(Order.SetLevel::level).min().orElse(1);
+            assertEquals(confidence > 0.5, least < 0.5, "level " + least);
+            assertEquals(confidence > 0.5, host.all(Order.SetLevel.class).stream()
+                    .allMatch(l -> l.retry() == Order.Retry.NEVER));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/puffinbarrow/memory/RecallTest.java
@@ -0,0 +1,108 @@
+package puffinbarrow.memory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Event.Recall;
+import puffinbarrow.control.Order;
+
+class RecallTest {
+    private static final long SECOND = 1_000_000_000L, MINUTE = 60 * SECOND, NOW = 1_000_000 * SECOND;
+    private final Facts.Image image = new Facts.Image();
+    private final List<String> words = new ArrayList<>();
+
+    private void self(long ago, double calm, double shed, boolean strained) {
+        image.put(new Facts.OfSelf(NOW - ago, 0, 1, false, List.of(), calm, calm, shed, strained));
+    }
+
+    private void server(String id, long ago, long started, long holdNs, long... fellAgo) {
+        List<Long> falls = new ArrayList<>();
+        for (long fell : fellAgo) {
+            falls.add(NOW - fell);
+        }
+        image.put(new Facts.OfServer(id, NOW - ago, 0, List.of(started), falls, List.of(), "well", holdNs, 1, 1, 0));
+    }
+
+    private static Event.Entry listed(String id, long started) {
+        return new Event.Entry(id, 0, 0, 0, Event.Listed.READY, 1, started);
+    }
+
+    private double confidence(Recall kind, String server, Event.Entry... list) {
+        return puffinbarrow.memory.Recall.of(image, List.of(list), NOW, words).stream()
+                .filter(e -> e.kind() == kind && e.server().equals(server))
+                .mapToDouble(Event.Recalled::confidence).findFirst().orElse(0);
+    }
+
+    @Test
+    void eachKindIsWorthLessTheOlderItIsByItsOwnHalfLife() {
+        self(10 * SECOND, 3, 0.5, true);
+        assertEquals(0.5, confidence(Recall.SHED, ""), 1e-9);
+        assertEquals(0.5, confidence(Recall.STRAINED, ""), 1e-9);
+        assertTrue(confidence(Recall.CALM_LOAD, "") > 0.999);
+        self(2 * MINUTE, 3, 0.5, true);
+        assertEquals(0, confidence(Recall.SHED, ""));
+    }
+
+    @Test
+    void oneFallIsAReleaseSeveralAreFlappingUntilTheyAreOld() {
+        self(SECOND, 0, 0, false);
+        server("once", SECOND, 5, 0, MINUTE);
+        server("often", SECOND, 5, 0, MINUTE, 2 * MINUTE, 3 * MINUTE);
+        server("longAgo", SECOND, 5, 0, 60 * MINUTE, 61 * MINUTE, 62 * MINUTE);
+        assertEquals(0, confidence(Recall.FLAPPING, "once", listed("once", 5)));
+        assertTrue(confidence(Recall.FLAPPING, "often", listed("often", 5)) > 0.9);
+        assertEquals(0, confidence(Recall.FLAPPING, "longAgo", listed("longAgo", 5)));
+    }
+
+    @Test
+    void thePresentListWinsOverMemory() {
+        self(SECOND, 0, 0, false);
+        server("a", SECOND, 5, 12 * SECOND);
+        assertTrue(confidence(Recall.HOLD_NS, "a", listed("a", 5)) > 0.9);
+        assertEquals(0, confidence(Recall.HOLD_NS, "a", listed("a", 6)), "a new start need not be ill");
+        assertEquals(0, confidence(Recall.HOLD_NS, "a", listed("b", 5)), "one that is not listed is forgotten");
+        assertEquals(0, confidence(Recall.HOLD_NS, "a", new Event.Entry("a", 0, 0, 0, Event.Listed.DRAINING, 1, 5)));
+    }
+
+    @Test
+    void aWeekOldAFutureAndAnEmptyMemoryGiveNothingAndSaySo() {
+        server("a", SECOND, 5, 12 * SECOND, MINUTE, MINUTE);
+        assertEquals(List.of(), puffinbarrow.memory.Recall.of(image, List.of(listed("a", 5)), NOW, words));
+        self(8 * 24 * 60 * MINUTE, 3, 1, true);
+        assertEquals(List.of(), puffinbarrow.memory.Recall.of(image, List.of(listed("a", 5)), NOW, words));
+        assertTrue(words.toString().contains("8 days old"));
+        self(-3600 * SECOND, 3, 1, true);
+        assertEquals(List.of(), puffinbarrow.memory.Recall.of(image, List.of(listed("a", 5)), NOW, words));
+        assertTrue(words.toString().contains("3600 s ahead"));
+    }
+
+    @Test
+    void notesMakeFactsOfWhatWasHeardAndGoOnAfterARestart() {
+        Notes notes = new Notes(1);
+        notes.heard(NOW, List.of(new Event.ServerList(Event.ListKind.WHOLE, List.of(listed("a", 5), listed("b", 5))),
+                new Event.SliceCharge(3, true)));
+        notes.heard(NOW + 1, List.of(new Event.ServerList(Event.ListKind.PATCH, List.of(
+                new Event.Entry("a", 0, 0, 0, Event.Listed.GONE, 1, 5)))));
+        notes.ordered(List.of(new Order.SetLine(3, "b", 1), new Order.SetLine(3, "a", 0)));
+        notes.changed(NOW + 2, 0, false, List.of()).forEach(image::put);
+        Notes later = new Notes(2);
+        later.resume(image);
+        later.heard(NOW + 10, List.of(new Event.ServerList(Event.ListKind.WHOLE, List.of(listed("a", 9), listed("b", 5)))));
+        later.heard(NOW + 11, List.of(new Event.ServerList(Event.ListKind.PATCH, List.of(listed("a", 11)))));
+        later.changed(NOW + 12, 0, true, List.of(new Event.Recalled(Recall.HOLD_NS, "b", 6, 1),
+                new Event.Recalled(Recall.SHED, "", 0.5, 1))).forEach(image::put);
+        Facts.OfServer a = (Facts.OfServer) image.get("server a");
+        Facts.OfServer b = (Facts.OfServer) image.get("server b");
+        assertEquals(List.of(5L, 9L, 11L), a.starts());
+        assertEquals(3, a.falls().size(), "gone once, two new starts while it was thought to run");
+        assertEquals(6, b.holdNs());
+        assertEquals("held", b.standing());
+        assertEquals(List.of(new Facts.Line("b", 1)), ((Facts.OfSlice) image.get("slice 3")).lines());
+        assertTrue(image.self().cleanEnd());
+        assertEquals(0.5, image.self().shed());
+    }
+}
