A proxy is welcomed by the turn that joins it: no order falls between store and stream

The welcome came from an I/O thread; the proxy read the store before the decision thread had it joined, and a turn in between wrote its lines to the store too late for the reading and sent them to the proxies joined so far. Change: the core welcomes in the turn that joins; proxies read again half a second later, as a write may be on its way; a proxy that dials again no longer claims to be fresh; turns can be logged at debug level.

--- a/src/bench/java/puffinbarrow/bench/SocketBench.java
+++ b/src/bench/java/puffinbarrow/bench/SocketBench.java
@@ -60,7 +60,7 @@
             for (int i = 0; i < count; i++) {
                 Frame.Hello hello = new Frame.Hello(1, 0, Frame.Role.PROXY, i, i % 3, i, true, 5);
                 Outlet[] up = new Outlet[1];
-                proxies.add(new Dialer(net, "bench", coordinator.address(), hello, 1 << 20, 1 << 22, frame -> {
+                proxies.add(new Dialer(net, "bench", coordinator.address(), () -> hello, 1 << 20, 1 << 22, frame -> {
                     if (frame instanceof Frame.Orders orders) {
                         lines.addAndGet(orders.orders().size());
                         orders.orders().stream().filter(o -> o instanceof Order.Mark).forEach(o -> {
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -161,7 +161,7 @@
 
     private Dialer dialer(String name, InetSocketAddress to, Frame.Hello hello, Consumer<Frame> frames,
             Consumer<Outlet> upOrDown) {
-        Dialer dialer = new Dialer(net, name, to, hello, config.outboundBytes, config.frameBytes, frames, upOrDown);
+        Dialer dialer = new Dialer(net, name, to, () -> hello, config.outboundBytes, config.frameBytes, frames, upOrDown);
         dialers.add(dialer);
         return dialer.start();
     }
@@ -341,8 +341,8 @@
                 }
                 hello = first;
                 proxies.put(first.number(), this);
-                welcome();
-                full |= !core.offer(new Input.Joined(first, this));
+                full |= !core.offer(new Input.Joined(first, this,
+                        new Frame.Welcome(Frame.MINOR, config.number, incarnation)));
             } else {
                 refuse(Frame.Refused.UNKNOWN_ROLE, first.role() + " " + first.number());
             }
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -204,6 +204,8 @@
             return;
         }
         turn++;
+        LOG.debug("turn {}: events {}", turn, events);
+        LOG.debug("turn {}: orders {}", turn, orders);
         carryOut(now, orders);
         memory.decided(now, events, orders, controller);
     }
@@ -275,6 +277,9 @@
             left(number, events);
             before.outlet.close("a new stream of the same proxy");
         }
+        // Welcomed only now that it is joined: a proxy reads the store at its welcome, and an order carried out
+        // between that reading and the joining would have reached neither the reading nor the stream.
+        in.outlet().send(writer.bytes(in.welcome()));
         joined.put(number, new Proxy(in.outlet()));
         events.add(new Event.ProxyJoined(number, in.hello().fresh(), in.hello().flowsPerS(), in.hello().zone()));
         meters.count("streams.joins");
--- a/src/main/java/puffinbarrow/coordinator/Dialer.java
+++ b/src/main/java/puffinbarrow/coordinator/Dialer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import puffinbarrow.net.Link;
@@ -26,7 +27,7 @@
     private final Net net;
     private final String name;
     private final InetSocketAddress to;
-    private final Frame.Hello hello;
+    private final Supplier<Frame.Hello> hello;
     private final long queueBytes;
     private final int frameBytes;
     private final Consumer<Frame> frames;
@@ -36,8 +37,8 @@
     private volatile boolean cut;
     private long pauseMs = LEAST_MS;
 
-    /** @param upOrDown gets the outlet once welcomed, and null once the stream is gone */
-    public Dialer(Net net, String name, InetSocketAddress to, Frame.Hello hello, long queueBytes, int frameBytes,
+    /** @param hello asked for at each dialling; @param upOrDown gets the outlet once welcomed, and null once the stream is gone */
+    public Dialer(Net net, String name, InetSocketAddress to, Supplier<Frame.Hello> hello, long queueBytes, int frameBytes,
             Consumer<Frame> frames, Consumer<Outlet> upOrDown) {
         this.net = net;
         this.name = name;
@@ -66,7 +67,7 @@
         net.dial(to, stream, queueBytes, up -> {
             link = up;
             stream.link = up;
-            up.send(FrameWriter.one(hello));
+            up.send(FrameWriter.one(hello.get()));
             if (closed) {
                 up.close();
             }
--- a/src/main/java/puffinbarrow/coordinator/Input.java
+++ b/src/main/java/puffinbarrow/coordinator/Input.java
@@ -5,7 +5,8 @@
 
 /** What may lie in the core's inbox: whatever the threads of the channels made of what came. */
 public sealed interface Input {
-    record Joined(Frame.Hello hello, Outlet outlet) implements Input {}
+    /** The welcome is the core's to send: from then on every order reaches the stream, see Core.joined. */
+    record Joined(Frame.Hello hello, Outlet outlet, Frame.Welcome welcome) implements Input {}
 
     record Left(int proxy, Outlet outlet) implements Input {}
 
--- a/src/main/java/puffinbarrow/replay/Bridge.java
+++ b/src/main/java/puffinbarrow/replay/Bridge.java
@@ -247,7 +247,6 @@
         } catch (Exception failed) {
             throw new IllegalStateException("could not dial the coordinator", failed);
         }
-        until("the welcome", () -> far.welcome);
         return far;
     }
 
@@ -260,8 +259,11 @@
     }
 
     private Far peer(int number) {
-        return peers.computeIfAbsent(number, n -> dial(new Far(new Frame.Hello(Frame.MAJOR, Frame.MINOR,
-                Frame.Role.PEER, n, 0, 1, true, 0))));
+        return peers.computeIfAbsent(number, n -> {
+            Far far = dial(new Far(new Frame.Hello(Frame.MAJOR, Frame.MINOR, Frame.Role.PEER, n, 0, 1, true, 0)));
+            until("the welcome", () -> far.welcome);
+            return far;
+        });
     }
 
     // ---- Probed backends: one listener plays them all, by the host that is asked for.
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -41,6 +41,9 @@
     public record Habits(long transitNs, long applyNsPerLine, long sumsLateNs, int failsToAvoid, long avoidNs,
             long holdNs, double tryBudgets) {}
 
+    /** Far above the way of a write to the store, within the second that WIRE gives a proxy to read it. */
+    private static final long READ_AGAIN_MS = 500;
+
     private record Due(Frame.Orders orders, long atNs) {}
 
     private static final class Avoid {
@@ -64,10 +67,12 @@
         Map<Long, long[]> demand = new TreeMap<>();
         Outlet outlet;
         boolean applying;
+        /** Whether a stream to this coordinator stood since the proxy's start. */
+        volatile boolean met;
 
         Voice(int number, InetSocketAddress address) {
             this.number = number;
-            this.dialer = new Dialer(net, "coordinator " + number, address, hello(Frame.Role.PROXY), 1 << 20, 1 << 22,
+            this.dialer = new Dialer(net, "coordinator " + number, address, () -> hello(Frame.Role.PROXY, !met), 1 << 20, 1 << 22,
                     frame -> heard(this, frame), up -> stream(this, up));
         }
     }
@@ -89,7 +94,6 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private Dialer store;
     private Outlet storeOutlet;
-    private boolean fresh = true;
     private long round;
     private long nextFlow;
     private volatile boolean deaf;
@@ -114,7 +118,7 @@
 
     /** Dials store and coordinators and reports its sums from now on. */
     public void start(InetSocketAddress storeAt, Map<Integer, InetSocketAddress> coordinators) {
-        store = new Dialer(net, "store", storeAt, hello(Frame.Role.PROXY_AT_STORE), 1 << 20, 1 << 22,
+        store = new Dialer(net, "store", storeAt, () -> hello(Frame.Role.PROXY_AT_STORE, true), 1 << 20, 1 << 22,
                 this::fromStore, this::storeUp).start();
         synchronized (this) {
             coordinators.forEach((n, address) -> voices.put(n, new Voice(n, address)));
@@ -124,7 +128,7 @@
         net.timer().schedule(this::report, (long) (chance.nextDouble() * config.roundNs), TimeUnit.NANOSECONDS);
     }
 
-    private Frame.Hello hello(Frame.Role role) {
+    private Frame.Hello hello(Frame.Role role, boolean fresh) {
         return new Frame.Hello(Frame.MAJOR, Frame.MINOR, role, number, zone, incarnation, fresh, 10);
     }
 
@@ -186,13 +190,15 @@
     private void stream(Voice voice, Outlet up) {
         synchronized (this) {
             voice.outlet = up;
+            voice.met |= up != null;
             // What travelled when the stream broke is lost; what was applied stays.
             voice.waiting.clear();
             recorder.add(new Seen.Stream(System.nanoTime(), number, voice.number, up != null));
-            fresh = false;
         }
         if (up != null) {
+            // Twice: what the coordinator wrote to the store just before its welcome may still be on its way there.
             ask(-1);
+            net.schedule(READ_AGAIN_MS, () -> ask(-1));
         }
     }
 
--- a/src/test/java/puffinbarrow/coordinator/CoordinatorTest.java
+++ b/src/test/java/puffinbarrow/coordinator/CoordinatorTest.java
@@ -272,6 +272,21 @@
         assertEquals(1, value(coordinator, "applied.unknown"));
     }
 
+    @Test
+    void aProxyIsWelcomedInTheTurnThatJoinsItSoThatNoOrderFallsBetween() throws Exception {
+        Scripted decisions = new Scripted();
+        Coordinator coordinator = new Coordinator(config(0, ""), (settings, seed) -> decisions).startByHand();
+        open.add(coordinator::kill);
+        Raw proxy = new Raw(coordinator).hello(1, 1);
+        Raw silent = new Raw(coordinator).hello(2, 1);
+        until("both hellos", () -> coordinator.offered() >= 4);
+        assertTrue(!proxy.welcome() && !silent.welcome(), "welcomed before it is joined");
+        decisions.next = List.of(new Order.Mask("a:1", true));
+        coordinator.turnAt(1);
+        coordinator.turnAt(10_000_000_000L);
+        until("the welcome and the orders of its turn", () -> proxy.welcome() && proxy.orders().size() == 1);
+    }
+
     @Test
     void aRegistryThatBreaksMidListIsAskedAgainAndNothingOfTheHalfIsBelieved() throws IOException {
         registry.set(new Event.Entry("a:1", 0, 0, 0, Event.Listed.READY, 1, 0));
