Dead code of the running coordinator and its replay removed

Cause: a reading of the whole change found methods, a field and a listener that nothing used, among them an end for peer messages in the replay that no peer stream ever led to. Behaviour stays.

--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -70,7 +70,6 @@
     private Thread thread;
     private volatile boolean running = true;
     private volatile boolean orderly;
-    private volatile boolean gaveUp;
     private volatile Consumer<Integer> onGivingUp = code -> { };
 
     public Coordinator(CoordinatorConfig config, Controller.Factory factory) throws IOException {
@@ -225,7 +224,6 @@
         }
         if (failures.size() >= FAILURES) {
             LOG.atError().addKeyValue("failures", failures.size()).log("giving up");
-            gaveUp = true;
             running = false;
             onGivingUp.accept(1);
         }
@@ -235,10 +233,6 @@
         onGivingUp = exit;
     }
 
-    public boolean gaveUp() {
-        return gaveUp;
-    }
-
     // ---- Streams of proxies and peers.
 
     private void watchStreams() {
@@ -505,11 +499,6 @@
         registryDialer.cut(on);
     }
 
-    /** Closes all streams of proxies; those that dial again are taken in as ever. */
-    public void dropProxies() {
-        proxies.values().forEach(s -> s.close("dropped"));
-    }
-
     /** The settings read again: what may change alive is taken up, the rest is told with its line. */
     public List<puffinbarrow.config.Problem> reload(CoordinatorConfig again) {
         List<puffinbarrow.config.Problem> refused = config.refusedChanges(again);
--- a/src/main/java/puffinbarrow/coordinator/Gather.java
+++ b/src/main/java/puffinbarrow/coordinator/Gather.java
@@ -1,6 +1,5 @@
 package puffinbarrow.coordinator;
 
-import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -148,9 +147,4 @@
             default -> new Event.ProxyDemand(key.a, key.b, sum.tries, sum.dropped, sum.spanNs);
         };
     }
-
-    /** Whether the lines of a round are all there; for tests. */
-    List<Long> roundsOpen() {
-        return new ArrayList<>(reported.keySet());
-    }
 }
--- a/src/main/java/puffinbarrow/memory/Codec.java
+++ b/src/main/java/puffinbarrow/memory/Codec.java
@@ -70,13 +70,11 @@
 
     // ---- Writing.
 
-    private int start;
     private int count;
 
     void begin() {
         to.clear();
         to.position(BATCH_HEADER);
-        start = 0;
         count = 0;
     }
 
@@ -138,7 +136,7 @@
         crc.update(to.array(), 0, 16);
         crc.update(to.array(), BATCH_HEADER, length);
         to.putInt(16, (int) crc.getValue());
-        return ByteBuffer.wrap(to.array(), start, BATCH_HEADER + length);
+        return ByteBuffer.wrap(to.array(), 0, BATCH_HEADER + length);
     }
 
     int bytes() {
--- a/src/main/java/puffinbarrow/memory/Kills.java
+++ b/src/main/java/puffinbarrow/memory/Kills.java
@@ -22,7 +22,7 @@
     /** Facts in one commit; several, so that a commit can be torn. */
     private static final int FACTS = 40;
 
-    /** @param older starts that came back older than an acknowledged commit; any of {@code wrong} is a failure */
+    /** A wrong start came back older than an acknowledged commit, or with half of one; any is a failure. */
     public record Outcome(int rounds, int whole, int ignored, int wrong, long commits, List<String> evidence) {}
 
     private Kills() {}
--- a/src/main/java/puffinbarrow/replay/Bridge.java
+++ b/src/main/java/puffinbarrow/replay/Bridge.java
@@ -47,8 +47,6 @@
     private final List<Order> asked = new ArrayList<>();
     private final List<String> probed = new ArrayList<>();
     private final AtomicLong received = new AtomicLong();
-    private final Net.Listener peerAt;
-    private final List<Order> told = new ArrayList<>();
     private volatile Far registry, store;
     private long round;
 
@@ -82,7 +80,7 @@
             } else if (frame instanceof Frame.Hello from) {
                 send(new Frame.Welcome(Frame.MINOR, 0, 0));
                 if (from.role() == Frame.Role.COORDINATOR) {
-                    if (this.listens == registryAt) {
+                    if (isRegistry) {
                         registry = this;
                     } else {
                         store = this;
@@ -96,16 +94,12 @@
                 synchronized (asked) {
                     asked.add(new Order.FetchList());
                 }
-            } else if (frame instanceof Frame.Peer f) {
-                synchronized (told) {
-                    told.add(new Order.Tell(-1, f.text()));
-                }
             } else if (frame instanceof Frame.Ping f) {
                 send(new Frame.Pong(f.number()));
             }
         }
 
-        private Net.Listener listens;
+        private boolean isRegistry;
 
         void send(Frame frame) {
             // Frames are small here; a writer of its own for each end keeps them apart.
@@ -121,24 +115,15 @@
     /** A stream that the coordinator dialled. */
     private Far dialled(boolean isRegistry) {
         Far far = new Far(null);
-        far.listens = isRegistry ? registryAt() : storeAt();
+        far.isRegistry = isRegistry;
         return far;
     }
 
-    private Net.Listener registryAt() {
-        return registryAt;
-    }
-
-    private Net.Listener storeAt() {
-        return storeAt;
-    }
-
     Bridge(Settings settings, long seed, Controller.Factory decisions) throws IOException {
         net = new Net("replay", 2);
         InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
         registryAt = net.listen(any, 64 << 20, channel -> dialled(true));
         storeAt = net.listen(any, 64 << 20, channel -> dialled(false));
-        peerAt = net.listen(any, 64 << 20, channel -> new Far(null));
         backendsAt = net.listen(any, 1 << 20, channel -> new Probed());
         CoordinatorConfig config = CoordinatorConfig.of(settings, seed);
         config.registry = registryAt.address();
@@ -351,10 +336,6 @@
             probed.forEach(server -> out.add(new Order.Probe(server)));
             probed.clear();
         }
-        synchronized (told) {
-            out.addAll(told);
-            told.clear();
-        }
         return out;
     }
 
@@ -365,7 +346,6 @@
         coordinator.kill();
         registryAt.close();
         storeAt.close();
-        peerAt.close();
         backendsAt.close();
         net.close();
     }
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -14,7 +14,6 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import puffinbarrow.audit.Recorder;
 import puffinbarrow.audit.Seen;
@@ -136,10 +135,6 @@
         return listener.address();
     }
 
-    public int number() {
-        return number;
-    }
-
     /** Cuts the streams to all coordinators, or heals them. */
     public void cut(boolean on) {
         voices.values().forEach(v -> v.dialer.cut(on));
@@ -171,10 +166,6 @@
         return wrongVoice;
     }
 
-    public synchronized Map<String, Double> table(int slice) {
-        return new TreeMap<>(tables.getOrDefault(slice, new TreeMap<>()));
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -570,15 +561,4 @@
         return tables.getOrDefault(slice, new TreeMap<>()).keySet().stream()
                 .filter(s -> voice == null || !voice.masks.contains(s)).toList();
     }
-
-    /** For tests: a frame sent as it is to one coordinator. */
-    public void say(int coordinator, Consumer<Outlet> what) {
-        Outlet to;
-        synchronized (this) {
-            to = voices.get(coordinator).outlet;
-        }
-        if (to != null) {
-            what.accept(to);
-        }
-    }
 }
