--- a/src/test/java/puffinbarrow/HouseTest.java
+++ b/src/test/java/puffinbarrow/HouseTest.java
@@ -22,6 +22,9 @@
                 .resideInAnyPackage("puffinbarrow.net", "java..").check(all);
         classes().that().resideInAPackage("puffinbarrow.proto").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("puffinbarrow.proto", "puffinbarrow.control", "java..").check(all);
+        noClasses().that().resideInAPackage("puffinbarrow.lease").should().dependOnClassesThat()
+                .resideInAnyPackage("puffinbarrow.net", "puffinbarrow.coordinator", "puffinbarrow.proto", "java.net",
+                        "java.nio..", "java.util.concurrent..", "org.slf4j").check(all);
         noClasses().that().resideInAnyPackage("puffinbarrow.wire", "puffinbarrow.config").should()
                 .dependOnClassesThat().resideInAnyPackage("puffinbarrow.net", "puffinbarrow.coordinator", "org.slf4j",
                         "picocli", "io.micrometer..").check(all);
