A slice's single owner pauses between two; masks end with the life that ordered them

A pure module beside the decisions empties the slice with a mark, waits for every joined proxy's answer, the proxy lease of those that left and the longest expiry of a write, then sends the new line. Proxies stop writing a proxy lease after they lost the slice's coordinator or the store.

--- a/src/main/java/puffinbarrow/config/CoordinatorConfig.java
+++ b/src/main/java/puffinbarrow/config/CoordinatorConfig.java
@@ -51,6 +51,8 @@
     public long tickNs = 2_000_000;
     /** Coordinators share the slices themselves; 0: the store deals them. */
     public long leaseNs;
+    /** A proxy stops sending writes to a single owner so long after its stream broke or the slice changed hands. */
+    public long proxyLeaseNs = 1_500_000_000L;
     public int inbox = 65_536;
     public long outboundBytes = 4 << 20;
     public int frameBytes = 1 << 20;
@@ -79,7 +81,7 @@
             {"gone", "binds|stays"}, {"tick", "TIME"}, {"inbox", "FRAMES"}, {"outbound", "SIZE"},
             {"frame", "SIZE"}, {"hello", "TIME"}, {"idle", "TIME"}, {"log", "text|json LEVEL"},
             {"port-file", "PATH"}, {"failed-batches", "FOLDER"},
-            {"memory", "FOLDER [at-most SIZE]"}, {"lease", "TIME"}, {"include", "FILE"}};
+            {"memory", "FOLDER [at-most SIZE]"}, {"lease", "TIME"}, {"proxy-lease", "TIME"}, {"include", "FILE"}};
         for (String[] each : all) {
             KEYWORDS.put(each[0], each[1]);
         }
@@ -219,6 +221,7 @@
             }
             case "port-file" -> portFile = Path.of(w.text("a path"));
             case "failed-batches" -> failedBatches = Path.of(w.text("a folder"));
+            case "proxy-lease" -> proxyLeaseNs = w.time("how long a cut-off proxy goes on sending writes");
             case "lease" -> leaseNs = w.time("how long a coordinator's lease lasts");
             case "memory" -> {
                 memory = Path.of(w.text("a folder"));
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -16,6 +16,7 @@
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.lease.Pause;
 import puffinbarrow.proto.Frame;
 import puffinbarrow.proto.FrameWriter;
 
@@ -120,11 +121,14 @@
     private final Map<Integer, TreeMap<String, Order>> unstored = new TreeMap<>();
     /** Null: charges come from the store and carry no terms. */
     private Fence fence;
+    /** Between two owners of a slice; null where slices have several. */
+    private Pause pause;
     private Outlet registry;
     private Outlet store;
     private Boolean following;
     private long wakeNumber;
     private long turn;
+    private long turnNs;
     private long tickAt = Long.MIN_VALUE;
 
     public Core(CoordinatorConfig config, Controller.Factory factory, Surroundings around, Memory memory,
@@ -152,6 +156,13 @@
 
     void fence(Fence with) {
         fence = with;
+        if (config.soleOwner) {
+            pause = new Pause(config.proxyLeaseNs, config.groups.stream()
+                    .filter(g -> g.repeats() != CoordinatorConfig.Repeats.RETRIABLE)
+                    .mapToLong(CoordinatorConfig.Group::expiryNs).max().orElse(0));
+            meters.gauge("slices.pausing", pause, Pause::pausing);
+            meters.gauge("slices.owner_changes", pause, Pause::changes);
+        }
     }
 
     /** From any thread; false asks the caller's stream to stop reading, see {@link #stopped}. */
@@ -187,6 +198,7 @@
             return Math.min(tickAt, channelNext(now));
         }
         long began = System.nanoTime();
+        turnNs = now;
         List<Event> events = new ArrayList<>();
         for (Input input : inbox.drain()) {
             take(now, input, events);
@@ -201,7 +213,15 @@
             meters.turn(System.nanoTime() - began);
             send(now);
         }
+        if (pause != null) {
+            List<Order> due = pause.due(now);
+            if (!due.isEmpty()) {
+                carryOut(now, due);
+                send(now);
+            }
+        }
         long next = Math.min(channelNext(now), gather.nextAtNs());
+        next = pause == null ? next : Math.min(next, pause.nextAtNs());
         next = wakes.isEmpty() ? next : Math.min(next, wakes.peek().atNs);
         return Math.max(next, Math.min(tickAt, channelNext(now)));
     }
@@ -227,7 +247,7 @@
         turn++;
         LOG.debug("turn {}: events {}", turn, events);
         LOG.debug("turn {}: orders {}", turn, orders);
-        carryOut(now, orders);
+        carryOut(now, pause == null ? orders : pause.orders(now, orders, joined.keySet()));
         memory.decided(now, events, orders, controller);
     }
 
@@ -314,6 +334,9 @@
     private void left(int number, List<Event> events) {
         joined.remove(number);
         channel.forget(number);
+        if (pause != null) {
+            pause.left(turnNs, number);
+        }
         events.add(new Event.ProxyLeft(number));
         meters.count("streams.leaves");
         LOG.atInfo().addKeyValue("proxy", number).log("proxy left");
@@ -325,6 +348,10 @@
         } else if (frame instanceof Frame.Demand f) {
             gather.demand(now, number, sliced, f);
         } else if (frame instanceof Frame.Applied f) {
+            if (f.mark() < 0 && pause != null) {
+                pause.applied(now, number, f.mark());
+                return;
+            }
             if (!proxy.marks.contains(f.mark())) {
                 meters.count("applied.unknown");
                 return;
@@ -357,10 +384,16 @@
                 mine.add(f.slice());
             } else {
                 mine.remove(f.slice());
+                if (pause != null) {
+                    pause.lost(f.slice());
+                }
                 unstored.remove(f.slice());
             }
             events.add(new Event.SliceCharge(f.slice(), f.given()));
         } else if (frame instanceof Frame.Stored f && f.slice() >= 0 && f.slice() < config.slices) {
+            if (pause != null) {
+                pause.charged(turnNs, f.slice(), f.lines().isEmpty() ? null : f.lines().get(0).server());
+            }
             for (Frame.Line line : f.lines()) {
                 events.add(new Event.StoredLine(f.slice(), line.server(), line.weight()));
             }
@@ -422,7 +455,12 @@
                     bound(o.table()).forEach(p -> own.computeIfAbsent(p, n -> new ArrayList<>()).add(o));
                 }
             } else if (order instanceof Order.Mark o) {
-                mark = o;
+                if (o.number() < 0) {
+                    // The pause's own; it goes along with the lines it is about.
+                    common.add(o);
+                } else {
+                    mark = o;
+                }
             } else {
                 elsewhere(now, order);
             }
--- a/src/main/java/puffinbarrow/coordinator/Dialer.java
+++ b/src/main/java/puffinbarrow/coordinator/Dialer.java
@@ -35,6 +35,7 @@
     private volatile Link link;
     private volatile boolean closed;
     private volatile boolean cut;
+    private volatile long incarnation;
     private long pauseMs = LEAST_MS;
 
     /** @param hello asked for at each dialling; @param upOrDown gets the outlet once welcomed, and null once the stream is gone */
@@ -50,6 +51,11 @@
         this.upOrDown = upOrDown;
     }
 
+    /** Of the far end that welcomed last: another one is another life of it. */
+    public long incarnation() {
+        return incarnation;
+    }
+
     public Dialer start() {
         dial();
         return this;
@@ -115,7 +121,8 @@
         }
 
         private void frame(Frame frame) {
-            if (frame instanceof Frame.Welcome) {
+            if (frame instanceof Frame.Welcome w) {
+                incarnation = w.incarnation();
                 pauseMs = LEAST_MS;
                 welcome = true;
                 upOrDown.accept(this);
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -61,7 +61,8 @@
         final Set<String> masks = new TreeSet<>();
         final Map<Integer, Order.SetLevel> levels = new HashMap<>();
         final ArrayDeque<Due> waiting = new ArrayDeque<>();
-        long lastDue;
+        long lastDue, lostAt = System.nanoTime();
+        long life;
         TreeMap<String, Sum> sums = new TreeMap<>();
         Map<Long, long[]> demand = new TreeMap<>();
         Outlet outlet;
@@ -95,6 +96,7 @@
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private Dialer store;
     private Outlet storeOutlet;
+    private long storeLostAt = System.nanoTime();
     private long round;
     private long nextFlow;
     private volatile boolean deaf;
@@ -187,6 +189,16 @@
 
     private void stream(Voice voice, Outlet up) {
         synchronized (this) {
+            if (up != null && voice.dialer.incarnation() != voice.life) {
+                // A killed coordinator's masks and levels are lost with it: its next life knows nothing of them.
+                voice.life = voice.dialer.incarnation();
+                List<Order> lifted = new ArrayList<>();
+                voice.masks.forEach(server -> lifted.add(new Order.Mask(server, false)));
+                voice.masks.clear();
+                voice.levels.clear();
+                recorder.add(new Seen.Applied(System.nanoTime(), number, voice.number, System.nanoTime(), lifted));
+            }
+            voice.lostAt = up == null && voice.outlet != null ? System.nanoTime() : voice.lostAt;
             voice.outlet = up;
             voice.met |= up != null;
             // What travelled when the stream broke is lost; what was applied stays.
@@ -237,7 +249,7 @@
         final Outlet to;
         List<Order> taken = new ArrayList<>();
         List<Frame.Stale> late = new ArrayList<>();
-        int mark = -1;
+        List<Integer> marks = new ArrayList<>();
         synchronized (this) {
             voice.applying = false;
             if (deaf || voice.waiting.peekFirst() != due) {
@@ -276,7 +288,7 @@
                         }
                     }
                 } else if (order instanceof Order.Mark o) {
-                    mark = o.number();
+                    marks.add(o.number());
                 }
             }
             recorder.add(new Seen.Applied(System.nanoTime(), number, voice.number, orders.orderedAtNs(), taken));
@@ -285,7 +297,7 @@
         if (to != null) {
             late.forEach(word -> to.send(FrameWriter.one(word)));
         }
-        if (mark >= 0 && to != null) {
+        for (int mark : to == null ? List.<Integer>of() : marks) {
             to.send(FrameWriter.one(new Frame.Applied(mark, System.nanoTime() - orders.orderedAtNs())));
         }
     }
@@ -314,6 +326,7 @@
 
     private void storeUp(Outlet up) {
         synchronized (this) {
+            storeLostAt = up == null && storeOutlet != null ? System.nanoTime() : storeLostAt;
             storeOutlet = up;
         }
         ask(-1);
@@ -465,7 +478,17 @@
             return attempt < (retry == Order.Retry.TWICE ? 3 : 2);
         }
 
+        /** To a single owner only while its voice is heard and the store could tell of another, and a proxy lease longer. */
+        private boolean mayWrite(Voice voice, long now) {
+            return config.groups.get(group).repeats() == CoordinatorConfig.Repeats.RETRIABLE || voice != null
+                    && (voice.outlet != null || now - voice.lostAt < config.proxyLeaseNs)
+                    && (storeOutlet != null || now - storeLostAt < config.proxyLeaseNs);
+        }
+
         private String pick(Voice voice, long now) {
+            if (config.soleOwner && !mayWrite(voice, now)) {
+                return null;
+            }
             TreeMap<String, Double> table = tables.getOrDefault(slice, new TreeMap<>());
             Set<String> masks = voice == null ? Set.of() : voice.masks;
             TreeMap<String, Double> open = new TreeMap<>();
--- a/src/test/java/puffinbarrow/day/TakeoverTest.java
+++ b/src/test/java/puffinbarrow/day/TakeoverTest.java
@@ -53,6 +53,32 @@
         }
     }
 
+    @Test
+    void aSliceWithASingleOwnerPausesBetweenTwo() throws Exception {
+        List<Problem> problems = new ArrayList<>();
+        Script script = Script.parse("owners", """
+                coordinators 2
+                proxies 4
+                backends 8 cores 4
+                slices 16
+                rate 60
+                seed 4
+                length 14s
+                notice 100ms to 300ms
+                set slices 16 sole-owner
+                at 1s release 50% batch 25% drain 2s
+                at 6s coordinator 1 killed for 2s
+                """, problems);
+        assertEquals(List.of(), problems);
+        try (Day day = new Day(script, new PrintStream(new ByteArrayOutputStream()), new Day.Bend(Logic::new, List.of()))) {
+            Page page = day.run();
+            assertTrue(page.verdict().kept(), page.text());
+            double changes = page.coordinators().values().stream().mapToDouble(f -> f.getOrDefault("slices.owner_changes", 0.0))
+                    .sum();
+            assertTrue(changes > 0, "owners changed");
+        }
+    }
+
     @Test
     void twoVoicesUnderOneTermAndAStepBackAreFound() {
         List<Problem> problems = new ArrayList<>();
