One piece each for port-files, addresses, unknown keywords; dead code out

Reading the whole change again showed the port-file and the admin line read in two places and written in a third, addresses written as text in three, the word on an unknown keyword in two, the scenario of measurements in two, a field of the core that its callers could pass, counters and getters that nothing read, and a scan of all targets for each drawn flow.

Each has one place now (`Ports`, `Net.text`, `Words.unknown`); the scan is done once at the start.

--- a/src/main/java/puffinbarrow/cli/Commands.java
+++ b/src/main/java/puffinbarrow/cli/Commands.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +19,7 @@
 import puffinbarrow.config.CoordinatorConfig;
 import puffinbarrow.config.Problem;
 import puffinbarrow.coordinator.Coordinator;
+import puffinbarrow.coordinator.Ports;
 import puffinbarrow.day.Day;
 import puffinbarrow.day.Page;
 import puffinbarrow.day.Script;
@@ -133,27 +133,19 @@
 
         @Override
         public Integer call() throws IOException {
-            String address = where;
-            if (Files.isRegularFile(Path.of(where))) {
-                address = Files.readAllLines(Path.of(where)).stream().filter(l -> l.startsWith("admin "))
-                        .map(l -> l.substring(6)).findFirst().orElse(where);
-            }
-            int colon = address.lastIndexOf(':');
-            if (colon < 0 || !address.substring(colon + 1).matches("[0-9]{1,5}")) {
-                System.err.println("status: found '" + where + "', expected ADDRESS:PORT or a port-file");
+            InetSocketAddress address;
+            try {
+                address = Files.isRegularFile(Path.of(where)) ? Ports.read(Path.of(where)).admin() : Ports.address(where);
+            } catch (IOException wrong) {
+                System.err.println("status: " + wrong.getMessage());
                 return USAGE;
             }
-            try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(address.substring(0, colon),
-                        Integer.parseInt(address.substring(colon + 1))), 2000);
-                socket.setSoTimeout(5000);
-                String ask = pace == null ? "status\n" : "pace " + pace + "\n";
-                socket.getOutputStream().write(ask.getBytes(StandardCharsets.UTF_8));
-                String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            try {
+                String answer = Ports.ask(address, pace == null ? "status" : "pace " + pace);
                 System.out.print(answer);
                 return answer.isEmpty() || answer.startsWith("error") ? FAILED : FINE;
             } catch (IOException silent) {
-                System.err.println("status: no answer from " + address + ": " + silent.getMessage());
+                System.err.println("status: no answer from " + address.getHostString() + ":" + address.getPort() + ": " + silent.getMessage());
                 return FAILED;
             }
         }
--- a/src/main/java/puffinbarrow/cli/LoadBench.java
+++ b/src/main/java/puffinbarrow/cli/LoadBench.java
@@ -13,7 +13,6 @@
 import org.apache.commons.rng.simple.RandomSource;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import puffinbarrow.config.Problem;
 import puffinbarrow.load.Engine;
 import puffinbarrow.load.Result;
 import puffinbarrow.load.Scenario;
@@ -32,13 +31,7 @@
     private static final double WITHIN = 0.03;
 
     private static Scenario scenario(Delays target, long seed, String more) {
-        List<Problem> problems = new ArrayList<>();
-        Scenario scenario = Scenario.parse("accuracy", "target 127.0.0.1:" + target.address().getPort()
-                + "\ngroup g share 1 utility 1 budget 1s expiry 20s path /\nseed " + seed + "\n" + more, problems);
-        if (!problems.isEmpty()) {
-            throw new IllegalStateException(problems.toString());
-        }
-        return scenario;
+        return LoadMeasures.scenario(target.address().getPort(), "seed " + seed + "\n" + more);
     }
 
     private static Delays target(DoubleUnaryOperator delay, long seed) throws Exception {
--- a/src/main/java/puffinbarrow/cli/LoadMeasures.java
+++ b/src/main/java/puffinbarrow/cli/LoadMeasures.java
@@ -62,7 +62,7 @@
         }
     }
 
-    private static Scenario scenario(int port, String more) {
+    static Scenario scenario(int port, String more) {
         List<Problem> problems = new ArrayList<>();
         Scenario scenario = Scenario.parse("measure", "target 127.0.0.1:" + port
                 + "\ngroup g share 1 utility 1 budget 1s expiry 20s path /\n" + more, problems);
--- a/src/main/java/puffinbarrow/config/Words.java
+++ b/src/main/java/puffinbarrow/config/Words.java
@@ -36,6 +36,14 @@
         sound = false;
     }
 
+    /** The statement's keyword is none of these; its words are passed over. */
+    public void unknown(List<String> keywords) {
+        String near = nearest(statement.keyword(), keywords);
+        problems.add(statement.problem("unknown keyword '" + statement.keyword() + "', expected one of "
+                + String.join(", ", keywords) + (near == null ? "" : " (did you mean " + near + "?)")));
+        at = statement.words().size();
+    }
+
     public String text(String expected) {
         if (!more()) {
             wrong("the end of the line", expected);
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -162,7 +162,7 @@
         config.peers.forEach(this::connectPeer);
         net.schedule(1000, this::watchStreams);
         if (config.portFile != null) {
-            writePorts();
+            new Ports(listener.address(), admin.address()).write(config.portFile);
         }
         LOG.atInfo().addKeyValue("coordinator", config.number).addKeyValue("listen", listener.address())
                 .addKeyValue("admin", admin.address()).log("ready");
@@ -183,18 +183,6 @@
         return dialer.start();
     }
 
-    /** Written whole under another name and renamed, so that a reader never sees half of it. */
-    private void writePorts() throws IOException {
-        Path part = config.portFile.resolveSibling(config.portFile.getFileName() + ".part");
-        Files.writeString(part, "listen " + text(listener.address()) + "\nadmin " + text(admin.address()) + "\n");
-        Files.move(part, config.portFile, java.nio.file.StandardCopyOption.ATOMIC_MOVE,
-                java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-    }
-
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     private void run() {
         // Times are counted from the system's monotonic clock; the epoch does not matter to the decisions.
         while (running) {
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -128,7 +128,6 @@
     private Boolean following;
     private long wakeNumber;
     private long turn;
-    private long turnNs;
     private long tickAt = Long.MIN_VALUE;
 
     public Core(CoordinatorConfig config, Controller.Factory factory, Surroundings around, Memory memory,
@@ -198,7 +197,6 @@
             return Math.min(tickAt, channelNext(now));
         }
         long began = System.nanoTime();
-        turnNs = now;
         List<Event> events = new ArrayList<>();
         for (Input input : inbox.drain()) {
             take(now, input, events);
@@ -278,7 +276,7 @@
         } else if (input instanceof Input.Left in) {
             Proxy proxy = joined.get(in.proxy());
             if (proxy != null && proxy.outlet == in.outlet()) {
-                left(in.proxy(), events);
+                left(now, in.proxy(), events);
             }
         } else if (input instanceof Input.FromRegistry in) {
             events.add(new Event.ServerList(in.list().kind(), in.list().entries()));
@@ -295,7 +293,7 @@
                 flushStore(now);
             }
         } else if (input instanceof Input.FromStore in) {
-            fromStore(in.frame(), events);
+            fromStore(now, in.frame(), events);
         } else if (input instanceof Input.FromPeer in) {
             events.add(new Event.PeerMessage(in.sender(), in.text()));
         } else if (input instanceof Input.PeerUp in) {
@@ -318,7 +316,7 @@
         int number = in.hello().number();
         Proxy before = joined.get(number);
         if (before != null) {
-            left(number, events);
+            left(now, number, events);
             before.outlet.close("a new stream of the same proxy");
         }
         // Welcomed only now that it is joined: a proxy reads the store at its welcome, and an order carried out
@@ -331,11 +329,11 @@
                 .addKeyValue("fresh", in.hello().fresh()).log("proxy joined");
     }
 
-    private void left(int number, List<Event> events) {
+    private void left(long now, int number, List<Event> events) {
         joined.remove(number);
         channel.forget(number);
         if (pause != null) {
-            pause.left(turnNs, number);
+            pause.left(now, number);
         }
         events.add(new Event.ProxyLeft(number));
         meters.count("streams.leaves");
@@ -378,7 +376,7 @@
         }
     }
 
-    private void fromStore(Frame frame, List<Event> events) {
+    private void fromStore(long now, Frame frame, List<Event> events) {
         if (frame instanceof Frame.Charge f && f.slice() >= 0 && f.slice() < config.slices) {
             if (f.given()) {
                 mine.add(f.slice());
@@ -392,7 +390,7 @@
             events.add(new Event.SliceCharge(f.slice(), f.given()));
         } else if (frame instanceof Frame.Stored f && f.slice() >= 0 && f.slice() < config.slices) {
             if (pause != null) {
-                pause.charged(turnNs, f.slice(), f.lines().isEmpty() ? null : f.lines().get(0).server());
+                pause.charged(now, f.slice(), f.lines().isEmpty() ? null : f.lines().get(0).server());
             }
             for (Frame.Line line : f.lines()) {
                 events.add(new Event.StoredLine(f.slice(), line.server(), line.weight()));
--- /dev/null
+++ b/src/main/java/puffinbarrow/coordinator/Ports.java
@@ -0,0 +1,58 @@
+package puffinbarrow.coordinator;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import puffinbarrow.net.Net;
+
+/** Where a coordinator listens, as its port-file says, and how its admin listener is asked. */
+public record Ports(InetSocketAddress listen, InetSocketAddress admin) {
+    private static final int CONNECT_MS = 2000;
+    private static final int ANSWER_MS = 5000;
+
+    /** Written whole under another name and renamed, so that a reader never sees half of it. */
+    void write(Path file) throws IOException {
+        Path part = file.resolveSibling(file.getFileName() + ".part");
+        Files.writeString(part, "listen " + Net.text(listen) + "\nadmin " + Net.text(admin) + "\n");
+        Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    public static Ports read(Path file) throws IOException {
+        InetSocketAddress listen = null;
+        InetSocketAddress admin = null;
+        for (String line : Files.readAllLines(file)) {
+            if (line.startsWith("listen ")) {
+                listen = address(line.substring(7));
+            } else if (line.startsWith("admin ")) {
+                admin = address(line.substring(6));
+            }
+        }
+        if (listen == null || admin == null) {
+            throw new IOException(file + ": no port-file, expected lines 'listen' and 'admin'");
+        }
+        return new Ports(listen, admin);
+    }
+
+    /** ADDRESS:PORT; an IOException says what was found. */
+    public static InetSocketAddress address(String text) throws IOException {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+            throw new IOException("found '" + text + "', expected ADDRESS:PORT or a port-file");
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** One line to an admin listener, and all that it answers. */
+    public static String ask(InetSocketAddress admin, String request) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(admin, CONNECT_MS);
+            socket.setSoTimeout(ANSWER_MS);
+            socket.getOutputStream().write((request + "\n").getBytes(StandardCharsets.UTF_8));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -132,13 +132,13 @@
         }
         lines.forEach(line -> text.append(line).append('\n'));
         if (registry != null) {
-            text.append("registry ").append(text(registry.address())).append(script.ask ? " ask\n" : " push\n");
-            text.append("store ").append(text(store.address())).append('\n');
+            text.append("registry ").append(Net.text(registry.address())).append(script.ask ? " ask\n" : " push\n");
+            text.append("store ").append(Net.text(store.address())).append('\n');
             if (memories != null) {
                 text.append("memory ").append(memories.resolve("c" + number)).append('\n');
             }
             if (addresses.containsKey(number)) {
-                text.append("listen ").append(text(addresses.get(number))).append('\n');
+                text.append("listen ").append(Net.text(addresses.get(number))).append('\n');
             }
         } else {
             text.append("registry 127.0.0.1:1 push\nstore 127.0.0.1:1\n");
@@ -154,10 +154,6 @@
         return names.toString().trim();
     }
 
-    private static String text(InetSocketAddress address) {
-        return address.getAddress().getHostAddress() + ":" + address.getPort();
-    }
-
     // ---- Setting up.
 
     private Backend backend() throws IOException {
@@ -268,7 +264,7 @@
                 + "to 1.6 keys 40%nretries %d wait 100ms%nconnections 5000%n", script.seed, script.rate,
                 script.lengthNs / 1_000_000, script.slices, script.retries));
         for (int i = 0; i < proxies.size(); i++) {
-            text.append("target ").append(text(proxies.get(i).address())).append(String.format(Locale.ROOT, " weight %.4f%n",
+            text.append("target ").append(Net.text(proxies.get(i).address())).append(String.format(Locale.ROOT, " weight %.4f%n",
                     parts.get(i)));
         }
         for (CoordinatorConfig.Group group : judged.groups) {
--- a/src/main/java/puffinbarrow/day/Runner.java
+++ b/src/main/java/puffinbarrow/day/Runner.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -13,6 +11,7 @@
 import puffinbarrow.config.CoordinatorConfig;
 import puffinbarrow.control.Controller;
 import puffinbarrow.coordinator.Coordinator;
+import puffinbarrow.coordinator.Ports;
 
 /** A coordinator of a day: within this process, or a process of its own that can be killed and stopped for real. */
 interface Runner {
@@ -111,12 +110,8 @@
             process.destroyForcibly();
             throw new IOException("coordinator " + number + " did not start, see " + folder);
         }
-        Map<String, InetSocketAddress> at = new TreeMap<>();
-        for (String line : Files.readAllLines(ports)) {
-            String[] parts = line.split("[ :]");
-            at.put(parts[0], new InetSocketAddress(parts[1], Integer.parseInt(parts[2])));
-        }
-        return new Child(number, process, at.get("listen"), at.get("admin"), cuts);
+        Ports at = Ports.read(ports);
+        return new Child(number, process, at.listen(), at.admin(), cuts);
     }
 
     /** Where streams of a process can be cut from outside. */
@@ -127,11 +122,8 @@
     record Child(int number, Process process, InetSocketAddress address, InetSocketAddress admin, Cuts cuts)
             implements Runner {
         private String ask(String what) {
-            try (Socket socket = new Socket()) {
-                socket.connect(admin, 2000);
-                socket.setSoTimeout(3000);
-                socket.getOutputStream().write((what + "\n").getBytes(StandardCharsets.UTF_8));
-                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            try {
+                return Ports.ask(admin, what);
             } catch (IOException gone) {
                 return "";
             }
--- a/src/main/java/puffinbarrow/day/Script.java
+++ b/src/main/java/puffinbarrow/day/Script.java
@@ -68,7 +68,7 @@
         Script script = new Script();
         for (Statement statement : statements) {
             Words w = new Words(statement, problems);
-            script.take(statement, w, problems);
+            script.take(statement, w);
             w.end();
         }
         for (Trouble trouble : script.troubles) {
@@ -80,7 +80,7 @@
         return script;
     }
 
-    private void take(Statement statement, Words w, List<Problem> problems) {
+    private void take(Statement statement, Words w) {
         switch (statement.keyword()) {
             case "coordinators" -> coordinators = (int) w.whole("how many coordinators", 1, 5);
             case "proxies" -> proxies = (int) w.whole("how many proxies", 1, 400);
@@ -131,14 +131,7 @@
                 settings.add(line.toString().trim());
             }
             case "at" -> trouble(statement, w);
-            default -> {
-                String near = Words.nearest(statement.keyword(), KEYWORDS);
-                problems.add(statement.problem("unknown keyword '" + statement.keyword() + "', expected one of "
-                        + String.join(", ", KEYWORDS) + (near == null ? "" : " (did you mean " + near + "?)")));
-                while (w.more()) {
-                    w.text("");
-                }
-            }
+            default -> w.unknown(KEYWORDS);
         }
     }
 
--- a/src/main/java/puffinbarrow/lease/Lease.java
+++ b/src/main/java/puffinbarrow/lease/Lease.java
@@ -281,11 +281,6 @@
         return slices[slice].voice.term();
     }
 
-    /** The record's owner as last seen; -1 for none. */
-    public int owner(int slice) {
-        return slices[slice].voice.owner();
-    }
-
     public int held() {
         int held = 0;
         for (Slice slice : slices) {
@@ -303,11 +298,6 @@
         return members.values().stream().filter(s -> alive(s, now)).map(s -> s.member).toList();
     }
 
-    /** When it must be called again at the latest. */
-    public long nextAtNs(long now) {
-        return Math.min(standing ? speakUntil : Long.MAX_VALUE, now + settings.ns / (5 * BEATS));
-    }
-
     // ---- This member's own lease.
 
     private void born(long now) {
@@ -432,14 +422,10 @@
     }
 
     private void share(long now) {
-        Set<Integer> living = new TreeSet<>();
         Set<Integer> settledOnes = new TreeSet<>();
         for (Seen seen : members.values()) {
-            if (alive(seen, now) && !seen.member.leaving()) {
-                living.add(seen.member.number());
-                if (seen.member.settled()) {
-                    settledOnes.add(seen.member.number());
-                }
+            if (alive(seen, now) && seen.member.settled() && !seen.member.leaving()) {
+                settledOnes.add(seen.member.number());
             }
         }
         close(now);
--- a/src/main/java/puffinbarrow/load/Arrivals.java
+++ b/src/main/java/puffinbarrow/load/Arrivals.java
@@ -15,6 +15,7 @@
     private final double[] groupEnds;
     private final double[] sliceEnds;
     private final double[] targetEnds;
+    private final boolean evenTargets;
     private final double zipfSum;
     private long number;
     private long at;
@@ -31,6 +32,7 @@
         this.ways = source(6);
         groupEnds = ends(scenario.groups.stream().mapToDouble(Scenario.Group::share).toArray());
         targetEnds = ends(scenario.targetParts.stream().mapToDouble(Double::doubleValue).toArray());
+        evenTargets = scenario.targetParts.stream().distinct().count() <= 1;
         UniformRandomProvider sizes = source(7);
         double[] slices = new double[scenario.slices];
         for (int i = 0; i < slices.length; i++) {
@@ -123,7 +125,7 @@
     private Flow flow() {
         int group = draw(groupEnds, kinds.nextDouble());
         // Targets of the same weight are taken in turn, as a client's list of addresses is.
-        int target = !scenario.evenTargets() ? draw(targetEnds, ways.nextDouble())
+        int target = !evenTargets ? draw(targetEnds, ways.nextDouble())
                 : scenario.targets.isEmpty() ? 0 : (int) (number % scenario.targets.size());
         return new Flow(number++, at, group, target, key(), work(scenario.groups.get(group)), null);
     }
--- a/src/main/java/puffinbarrow/load/Charts.java
+++ b/src/main/java/puffinbarrow/load/Charts.java
@@ -52,7 +52,6 @@
     private static XYChart chart(String x, String y) {
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle(x).yAxisTitle(y).build();
         style(chart.getStyler());
-        chart.getStyler().setXAxisMin(null);
         return chart;
     }
 
--- a/src/main/java/puffinbarrow/load/Engine.java
+++ b/src/main/java/puffinbarrow/load/Engine.java
@@ -59,7 +59,7 @@
 
     /** Sends it all and waits for every outcome; progress may be null. */
     public Result run(PrintStream progress) {
-        feeder.start();
+        prepare();
         return run(progress, System.nanoTime() + BEGIN_AFTER_NS);
     }
 
--- a/src/main/java/puffinbarrow/load/Scenario.java
+++ b/src/main/java/puffinbarrow/load/Scenario.java
@@ -147,7 +147,7 @@
         Scenario scenario = new Scenario();
         for (Statement statement : statements) {
             Words w = new Words(statement, problems);
-            scenario.take(statement, w, problems);
+            scenario.take(statement, w);
             w.end();
         }
         if (scenario.trace == null && statements.stream().anyMatch(st -> st.keyword().startsWith("trace-")
@@ -174,7 +174,7 @@
         return scenario;
     }
 
-    private void take(Statement statement, Words w, List<Problem> problems) {
+    private void take(Statement statement, Words w) {
         switch (statement.keyword()) {
             case "target" -> {
                 InetSocketAddress target = w.address("a loopback target");
@@ -240,14 +240,7 @@
             }
             case "connections" -> connections = (int) w.whole("connections to a target", 1, 60_000);
             case "in-flight" -> inFlight = (int) w.whole("flows open at once", 1, 1_000_000);
-            default -> {
-                String near = Words.nearest(statement.keyword(), KEYWORDS);
-                problems.add(statement.problem("unknown keyword '" + statement.keyword() + "', expected one of "
-                        + String.join(", ", KEYWORDS) + (near == null ? "" : " (did you mean " + near + "?)")));
-                while (w.more()) {
-                    w.text("");
-                }
-            }
+            default -> w.unknown(KEYWORDS);
         }
     }
 
@@ -310,10 +303,6 @@
         return flat;
     }
 
-    boolean evenTargets() {
-        return targetParts.stream().distinct().count() <= 1;
-    }
-
     private void arrivals(Words w) {
         process = Process.valueOf(w.oneOf("poisson", "constant", "bursts").toUpperCase(java.util.Locale.ROOT));
         if (process == Process.BURSTS && w.take("x")) {
--- a/src/main/java/puffinbarrow/load/Sender.java
+++ b/src/main/java/puffinbarrow/load/Sender.java
@@ -89,7 +89,7 @@
         Target(InetSocketAddress address, int limit) {
             this.address = address;
             this.limit = this.most = limit;
-            this.name = address.getAddress().getHostAddress() + ":" + address.getPort();
+            this.name = Net.text(address);
         }
     }
 
--- a/src/main/java/puffinbarrow/net/Net.java
+++ b/src/main/java/puffinbarrow/net/Net.java
@@ -25,6 +25,11 @@
         timer = Executors.newSingleThreadScheduledExecutor(daemons(name + "-timer-"));
     }
 
+    /** As settings and ids write it. */
+    public static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
     public static ThreadFactory daemons(String prefix) {
         AtomicInteger count = new AtomicInteger();
         return work -> {
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -101,7 +101,7 @@
     private long nextFlow;
     private volatile boolean deaf;
     private volatile boolean closed;
-    private long blocked, retried, wrongVoice, refusedTerms;
+    private long blocked, retried, wrongVoice;
 
     public PlainProxy(Net net, int number, int zone, CoordinatorConfig config, Habits habits, Recorder recorder,
             UniformRandomProvider chance) throws IOException {
@@ -165,11 +165,6 @@
         return retried;
     }
 
-    /** Lines under an older term than one that was seen. */
-    public synchronized long refusedTerms() {
-        return refusedTerms;
-    }
-
     /** Lines that came from a coordinator that was not in charge of their slice. */
     public synchronized long wrongVoice() {
         return wrongVoice;
@@ -260,7 +255,6 @@
             for (Order order : orders.orders()) {
                 if (order instanceof Order.SetLine o && stale.contains(o.table())
                         || order instanceof Order.ClearTable c && stale.contains(c.table())) {
-                    refusedTerms++;
                     continue;
                 }
                 taken.add(order);
--- a/src/main/java/puffinbarrow/standin/Store.java
+++ b/src/main/java/puffinbarrow/standin/Store.java
@@ -46,7 +46,6 @@
     private final Set<Integer> cut = new HashSet<>();
     private double loseShare;
     private long slowMs;
-    private long writes;
 
     public Store(Net net, Recorder recorder, int slices, int coordinators, boolean soleOwner, long takeoverMs)
             throws IOException {
@@ -121,11 +120,6 @@
         slowMs = ms;
     }
 
-    /** Records written so far. */
-    public synchronized long writes() {
-        return writes;
-    }
-
     public synchronized long term(int slice) {
         Frame.VoiceRecord voice = voices.get(slice);
         return voice == null ? 0 : voice.term();
@@ -194,7 +188,6 @@
     /** Writes a member's or a voice's record if its revision is the one expected; tells all who watch. */
     private void compareAndSet(Stream from, long id, boolean same, Frame before, java.util.function.LongFunction
             <Frame> next) {
-        writes++;
         if (same) {
             Frame now = next.apply(++revisions);
             if (now instanceof Frame.MemberRecord m) {
