--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -573,11 +573,16 @@
 
     /** Whether the slice has a full line on the server; less than half of its heaviest line is a spare. */
     private static boolean full(Slice slice, String id) {
-        return slice.want.getOrDefault(id, 0.0) > top(slice) / 2;
+        Double weight = slice.want.get(id);
+        return weight != null && weight > top(slice) / 2;
     }
 
     private static double top(Slice slice) {
-        return slice.want.values().stream().max(Double::compare).orElse(0.0);
+        double top = 0;
+        for (double weight : slice.want.values()) {
+            top = Math.max(top, weight);
+        }
+        return top;
     }
 
     private static double each(Slice slice) {
@@ -781,9 +786,8 @@
      * A slice hotter than a part of a server gets more full lines, fewer again when it cools. It halves the
      * warmth of the keys on each, so the bounds lie well apart and well above an ordinary slice.
      */
-    private void spread(Slice slice) {
-        double part = fleetDemand <= 0 ? 0 : ownPart * slice.demand / fleetDemand
-                * servers.values().stream().filter(Server::usable).count();
+    private void spread(Slice slice, long usable) {
+        double part = fleetDemand <= 0 ? 0 : ownPart * slice.demand / fleetDemand * usable;
         List<Server> lines = slice.want.keySet().stream().filter(id -> full(slice, id))
                 .map(servers::get).toList();
         if (part / lines.size() > 0.5 && lines.size() < 4) {
@@ -929,7 +933,8 @@
         mendAll();
         easeCold();
         if (newRound && rounds >= 3 && !set.soleOwner()) {
-            Arrays.stream(slices).filter(v -> v.mine).forEach(this::spread);
+            long usable = servers.values().stream().filter(Server::usable).count();
+            Arrays.stream(slices).filter(v -> v.mine).forEach(v -> spread(v, usable));
             newRound = false;
         }
         servers.values().stream().filter(v -> v.pressed && v.usable()).forEach(this::relieve);
--- a/src/main/java/puffinbarrow/cli/Commands.java
+++ b/src/main/java/puffinbarrow/cli/Commands.java
@@ -32,7 +32,7 @@
         exitCodeList = {"0:fine", "1:failed", "2:usage or settings", "3:a rule broke"},
         subcommands = {Commands.Run.class, Commands.Check.class, Commands.Status.class, Commands.PlayDay.class,
             Commands.PlayTap.class, MemoryCommands.class, BenchCommands.class, LoadCommands.class, ChaosCommands.class,
-                        Commands.WireHelp.class})
+            EmulateCommands.class, Commands.WireHelp.class})
 public final class Commands {
     static final int FINE = 0, FAILED = 1, USAGE = 2, RULE = 3;
 
@@ -173,6 +173,7 @@
             String builtIn = Files.exists(file) ? null : builtIn(file.toString());
             Script script = builtIn == null ? Script.read(file, problems)
                     : Script.parse(file + ".day", builtIn, problems);
+            script.forSockets(problems);
             if (!sound(problems)) {
                 return USAGE;
             }
@@ -189,10 +190,12 @@
             }
         }
 
-        private static String builtIn(String name) throws IOException {
-            try (InputStream in = Commands.class.getResourceAsStream("/puffinbarrow/" + name + ".day")) {
-                return in == null ? null : new String(in.readAllBytes(), StandardCharsets.UTF_8);
-            }
+    }
+
+    /** A script that comes with the program, or null. */
+    static String builtIn(String name) throws IOException {
+        try (InputStream in = Commands.class.getResourceAsStream("/puffinbarrow/" + name + ".day")) {
+            return in == null ? null : new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
     }
 
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -95,7 +95,8 @@
         this.keeper = config.memory == null ? null : Keeper.open(config.memory, config.memoryBytes, MEMORY_KEYS);
         this.core = new Core(config, factory, this, keeper == null ? Core.Memory.NONE
                 : new Remembering(keeper, incarnation), meters, tempo);
-        this.holder = config.leaseNs > 0 && config.slices > 0 ? new Holder(config, incarnation, net, core::offer, meters)
+        this.holder = config.leaseNs > 0 && config.slices > 0 ? new Holder(config, incarnation, new SystemTiming(), core::offer,
+                meters)
                 : null;
         if (holder != null) {
             core.fence(holder);
@@ -201,6 +202,18 @@
         ended.countDown();
     }
 
+    private final class SystemTiming implements Holder.Timing {
+        @Override
+        public long now() {
+            return System.nanoTime();
+        }
+
+        @Override
+        public void after(long ns, Runnable work) {
+            net.schedule(Math.max(1, ns / 1_000_000), work);
+        }
+    }
+
     // ---- What the core asks for.
 
     @Override
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -153,7 +153,7 @@
         meters.gauge("slices.charge", mine, TreeSet::size);
     }
 
-    void fence(Fence with) {
+    public void fence(Fence with) {
         fence = with;
         if (config.soleOwner) {
             pause = new Pause(config.proxyLeaseNs, config.groups.stream()
@@ -185,6 +185,11 @@
         inbox.limit(frames);
     }
 
+    /** No earlier than this will {@link #turn} decide anything. */
+    public long nextTickNs() {
+        return tickAt;
+    }
+
     boolean idle() {
         return inbox.isEmpty();
     }
--- a/src/main/java/puffinbarrow/coordinator/Holder.java
+++ b/src/main/java/puffinbarrow/coordinator/Holder.java
@@ -14,7 +14,6 @@
 import puffinbarrow.lease.Member;
 import puffinbarrow.lease.Step;
 import puffinbarrow.lease.Voice;
-import puffinbarrow.net.Net;
 import puffinbarrow.proto.Frame;
 import puffinbarrow.proto.FrameWriter;
 
@@ -23,13 +22,20 @@
  * coordinator's core; a slice's charge is given once its table has been read, which is after its voice was written. The
  * decision thread reads terms and the end of the lease without waiting; all else is guarded by this.
  */
-final class Holder implements Core.Fence {
+public final class Holder implements Core.Fence {
+    /** Its clock and timer: the system's, or an emulator's. */
+    public interface Timing {
+        long now();
+
+        void after(long ns, Runnable work);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger("puffinbarrow.lease");
     /** Ticks in a lease: a silence ends at most a twentieth of a lease late. */
     private static final int TICKS = 20;
 
     private final CoordinatorConfig config;
-    private final Net net;
+    private final Timing timing;
     private final Predicate<Input> charges;
     private final Meters meters;
     private final Lease lease;
@@ -39,9 +45,9 @@
     private volatile long speakUntil = Long.MIN_VALUE;
     private Outlet store;
 
-    Holder(CoordinatorConfig config, long incarnation, Net net, Predicate<Input> charges, Meters meters) {
+    public Holder(CoordinatorConfig config, long incarnation, Timing timing, Predicate<Input> charges, Meters meters) {
         this.config = config;
-        this.net = net;
+        this.timing = timing;
         this.charges = charges;
         this.meters = meters;
         this.terms = new AtomicLongArray(config.slices);
@@ -50,25 +56,25 @@
         meters.gauge("lease.voices", this, Holder::held);
     }
 
-    void start() {
-        net.schedule(Math.max(1, config.leaseNs / TICKS / 1_000_000), this::tick);
+    public void start() {
+        timing.after(config.leaseNs / TICKS, this::tick);
     }
 
     private void tick() {
         synchronized (this) {
-            carry(lease.tick(System.nanoTime()));
+            carry(lease.tick(timing.now()));
         }
         start();
     }
 
     /** The store's stream stands, or is gone (null). */
-    synchronized void store(Outlet up) {
+    public synchronized void store(Outlet up) {
         store = up;
         beginning.clear();
         if (up == null) {
-            carry(lease.disconnected(System.nanoTime()));
+            carry(lease.disconnected(timing.now()));
         } else {
-            carry(lease.connected(System.nanoTime()));
+            carry(lease.connected(timing.now()));
             up.send(FrameWriter.one(new Frame.Watch()));
             // Tables asked for on the former stream.
             for (int slice = 0; slice < config.slices; slice++) {
@@ -79,8 +85,8 @@
         }
     }
 
-    synchronized void frame(Frame frame) {
-        long now = System.nanoTime();
+    public synchronized void frame(Frame frame) {
+        long now = timing.now();
         if (frame instanceof Frame.MemberRecord f) {
             carry(lease.member(now, f.revision(), new Member(f.number(), f.incarnation(), f.beat(), f.settled(),
                     f.leaving(), f.flaps(), f.dead())));
@@ -104,23 +110,23 @@
     }
 
     /** A proxy or the store has seen a later term. */
-    synchronized void stale(int slice, long term) {
+    public synchronized void stale(int slice, long term) {
         meters.count("lease.told_stale");
         if (slice >= 0 && slice < config.slices) {
-            carry(lease.toldStale(System.nanoTime(), slice, term));
+            carry(lease.toldStale(timing.now(), slice, term));
         }
     }
 
-    synchronized void leave() {
-        carry(lease.leave(System.nanoTime()));
+    public synchronized void leave() {
+        carry(lease.leave(timing.now()));
     }
 
     /** Hands on what others can take, and waits for it that long at most. */
     void leaveWithin(long ns) {
         leave();
-        long until = System.nanoTime() + ns;
+        long until = timing.now() + ns;
         try {
-            while (System.nanoTime() < until && others() && held() > 0) {
+            while (timing.now() < until && others() && held() > 0) {
                 Thread.sleep(10);
             }
         } catch (InterruptedException hurried) {
@@ -129,7 +135,7 @@
     }
 
     private synchronized boolean others() {
-        return lease.living(System.nanoTime()).size() > 1;
+        return lease.living(timing.now()).size() > 1;
     }
 
     private synchronized int held() {
@@ -177,7 +183,7 @@
 
     @Override
     public boolean open(long now) {
-        return System.nanoTime() < speakUntil;
+        return timing.now() < speakUntil;
     }
 
     @Override
@@ -189,7 +195,7 @@
     synchronized Map<String, Object> state() {
         Map<String, Object> state = new TreeMap<>();
         List<String> members = new ArrayList<>();
-        for (Member m : lease.living(System.nanoTime())) {
+        for (Member m : lease.living(timing.now())) {
             members.add(m.number() + (m.leaving() ? " leaving" : m.settled() ? "" : " not settled"));
         }
         long least = Long.MAX_VALUE;
@@ -206,7 +212,7 @@
         state.put("members", members);
         state.put("voices", held);
         state.put("terms", held == 0 ? "none" : least + " to " + most);
-        state.put("lease", Math.max(0, (speakUntil - System.nanoTime()) / 1_000_000) + " ms left");
+        state.put("lease", Math.max(0, (speakUntil - timing.now()) / 1_000_000) + " ms left");
         return state;
     }
 }
--- a/src/main/java/puffinbarrow/lease/Lease.java
+++ b/src/main/java/puffinbarrow/lease/Lease.java
@@ -1,6 +1,7 @@
 package puffinbarrow.lease;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -112,6 +113,8 @@
     private long nextBeatAt;
     private boolean standing;
     private int[] shares;
+    /** Slices that may be out of place: a look leaves out all others, which are nearly all in a calm fleet. */
+    private final BitSet touched = new BitSet();
     private Set<Integer> sharers = Set.of();
     private long sharesSince;
     private boolean saidLeft;
@@ -155,6 +158,7 @@
         for (int i = 0; i < slices.length; i++) {
             if (slices[i].call != 0) {
                 slices[i].call = 0;
+                touched.set(i);
                 act(i, Input.LOST, now);
             }
         }
@@ -223,6 +227,7 @@
         Integer slice = calls.remove(id);
         if (slice != null && slices[slice].call == id) {
             slices[slice].call = 0;
+            touched.set(slice);
             act(slice, applied ? Input.WON : Input.LOST, now);
         }
         return tick(now);
@@ -361,6 +366,7 @@
         standing = false;
         for (int i = 0; i < slices.length; i++) {
             slices[i].call = 0;
+            touched.set(i);
             act(i, Input.LAPSE, now);
         }
         calls.clear();
@@ -433,15 +439,20 @@
         if (shares == null || !settledOnes.equals(sharers)) {
             sharers = settledOnes;
             shares = Shares.of(settings.slices, sharers);
+            touched.set(0, slices.length);
             sharesSince = now;
         }
         int left = settings.takesPerTick - calls.size();
         // What was never held waits for those who started together with this one: it would only be handed on to them.
         boolean together = now - sharesSince > settings.ns / 2;
         boolean calm = leaving || now - sharesSince > CALM * settings.ns;
-        for (int i = 0; i < slices.length && left > 0; i++) {
+        for (int i = touched.nextSetBit(0); i >= 0 && left > 0; i = touched.nextSetBit(i + 1)) {
             Slice s = slices[i];
-            if (s.call != 0 && now - s.sentAt > settings.ns / BEATS) {
+            boolean inPlace = s.state != State.IDLE || shares[i] != settings.number;
+            inPlace &= s.state != State.SPEAKING || shares[i] < 0 || shares[i] == settings.number;
+            if (s.call == 0 && inPlace) {
+                touched.clear(i);
+            } else if (s.call != 0 && now - s.sentAt > settings.ns / BEATS) {
                 // No answer: the same call again, which takes effect once at most.
                 s.sentAt = now;
                 out.add(new Step.WriteVoice(s.call, i, s.expected, s.asked));
@@ -478,6 +489,7 @@
         Slice s = slices[slice];
         for (Row row : TABLE) {
             if (row.in == s.state && row.on == input) {
+                touched.set(slice);
                 s.state = row.to;
                 if (s.call != 0 && (row.to == State.IDLE || row.to == State.SPEAKING)) {
                     // Decided, by its answer or by the record itself.
--- a/src/main/java/puffinbarrow/load/Scenario.java
+++ b/src/main/java/puffinbarrow/load/Scenario.java
@@ -282,6 +282,11 @@
         }
     }
 
+    /** The slice that a key falls into. */
+    public int sliceOf(int key) {
+        return slices > 0 ? key / keysEach : key;
+    }
+
     /** The same groups, keys and bounds at an even rate against one target; asks no work of it. */
     public Scenario flat(double perS, long forNs, InetSocketAddress target) {
         Scenario flat = new Scenario();
--- a/src/main/java/puffinbarrow/load/Sender.java
+++ b/src/main/java/puffinbarrow/load/Sender.java
@@ -347,7 +347,7 @@
         byte[] head = ask == null ? heads[flow.group()] : head(ask.method(), ask.path(), flow.group(), ask.bodyBytes());
         int body = ask == null ? scenario.groups.get(flow.group()).bodyBytes() : ask.bodyBytes();
         StringBuilder own = new StringBuilder(160);
-        int slice = scenario.slices > 0 ? flow.key() / scenario.keysEach : flow.key();
+        int slice = scenario.sliceOf(flow.key());
         own.append("x-key: ").append(ask != null && ask.key() != null ? ask.key() : Integer.toString(flow.key()))
                 .append("\r\nx-slice: ").append(slice).append("\r\nx-flow: ").append(flow.number())
                 .append("\r\nx-expiry-ns: ").append(Math.max(0, call.timeoutAtNs() - now))
--- a/src/main/java/puffinbarrow/replay/Bridge.java
+++ b/src/main/java/puffinbarrow/replay/Bridge.java
@@ -78,7 +78,7 @@
                 }
                 received.incrementAndGet();
             } else if (frame instanceof Frame.Hello from) {
-                send(new Frame.Welcome(Frame.MINOR, 0, 0));
+                // Known before it is welcomed: once the welcome is out, events may be given to it.
                 if (from.role() == Frame.Role.COORDINATOR) {
                     if (isRegistry) {
                         registry = this;
@@ -86,6 +86,7 @@
                         store = this;
                     }
                 }
+                send(new Frame.Welcome(Frame.MINOR, 0, 0));
             } else if (frame instanceof Frame.Follow f) {
                 synchronized (asked) {
                     asked.add(new Order.Follow(f.on()));
--- a/src/main/java/puffinbarrow/replay/Replay.java
+++ b/src/main/java/puffinbarrow/replay/Replay.java
@@ -109,6 +109,9 @@
     private String compare(String recorded, String ours) throws IOException {
         Map<String, List<String>> theirs = split(recorded, true);
         Map<String, List<String>> mine = split(ours, false);
+        if (mine.containsKey("failure")) {
+            return "the replay itself failed: " + mine.get("failure");
+        }
         for (Map.Entry<String, List<String>> each : theirs.entrySet()) {
             String difference = differ(each.getKey(), each.getValue(), mine.getOrDefault(each.getKey(), List.of()));
             if (difference != null) {
