--- a/src/main/java/puffinbarrow/cli/BenchCommands.java
+++ b/src/main/java/puffinbarrow/cli/BenchCommands.java
@@ -25,7 +25,8 @@
 /** Long runs that prove something, kept out of the tests. */
 @Command(name = "bench", mixinStandardHelpOptions = true, description = "Long runs that prove something.",
         subcommands = {BenchCommands.MemoryKill.class, BenchCommands.MemoryDays.class, LoadBench.class, LoadMeasures.Rate.class,
-            LoadMeasures.Memory.class, LoadMeasures.LongTrace.class, LoadMeasures.Target.class, LeaseBench.class, BenchCommands.MemoryWriter.class})
+            LoadMeasures.Memory.class, LoadMeasures.LongTrace.class, LoadMeasures.Target.class, LeaseBench.class, EmulatorBench.class,
+            BenchCommands.MemoryWriter.class})
 final class BenchCommands implements Callable<Integer> {
     @Override
     public Integer call() {
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -196,7 +196,7 @@
         Audit.Verdict verdict = Audit.judge(plan.stretched(), seen, beganAt);
         return new Page(script, judged, verdict, flows, scenario, result[0], beganAt,
                 recorder.lost(), figures, List.copyOf(log), Signs.of(script, seen, flows, beganAt),
-                script.leaseNs > 0 ? Silence.of(script, seen, beganAt) : "", store.handed(), store.refusedWrites(),
+                script.leaseNs > 0 ? Silence.of(script, seen, beganAt) : "", store.handed(), store.moves(), store.refusedWrites(),
                 proxies.stream().mapToLong(PlainProxy::retried).sum(),
                 backends.values().stream().filter(Backend::fell).map(Backend::id).toList(), sentToStruck(seen));
     }
--- a/src/main/java/puffinbarrow/day/Page.java
+++ b/src/main/java/puffinbarrow/day/Page.java
@@ -17,7 +17,7 @@
 /** The figures of a day, and the page that shows them. All figures are of stand-in servers on one machine. */
 public record Page(Script script, CoordinatorConfig config, Audit.Verdict verdict, List<Ended> flows,
         Scenario scenario, Result result, long beganAt, long recordsLost, Map<Integer, Map<String, Double>> coordinators,
-        List<String> troubles, List<String> signs, String silence, long handed, long refusedWrites, long retried, List<String> fell, long sentToStruck) {
+        List<String> troubles, List<String> signs, String silence, long handed, long moves, long refusedWrites, long retried, List<String> fell, long sentToStruck) {
 
     private static final long SECOND = 1_000_000_000L;
     private static final long WINDOW = 10 * SECOND;
--- a/src/main/java/puffinbarrow/day/Plan.java
+++ b/src/main/java/puffinbarrow/day/Plan.java
@@ -135,8 +135,9 @@
         }
         for (CoordinatorConfig.Group group : judged.groups) {
             text.append(String.format(Locale.ROOT, "group %s share 1 utility %s budget %dms expiry %dms path /flow method POST "
-                    + "work %dus spread 0.47%s%n", group.name(), group.utility(), group.budgetNs() / 1_000_000,
-                    group.expiryNs() / 1_000_000, group.budgetNs() / 5000, group.repeats()
+                    + "work %dus%s%s%n", group.name(), group.utility(), group.budgetNs() / 1_000_000,
+                    group.expiryNs() / 1_000_000, group.budgetNs() / 5000, script.workSpread > 0
+                    ? " spread " + script.workSpread : "", group.repeats()
                     == CoordinatorConfig.Repeats.RETRIABLE ? "" : " non-retriable"));
         }
         for (Script.Trouble t : script.troubles) {
--- a/src/main/java/puffinbarrow/day/Script.java
+++ b/src/main/java/puffinbarrow/day/Script.java
@@ -46,6 +46,8 @@
     public long lengthNs = 60_000_000_000L;
     public long seed = 7;
     public int retries = 1;
+    /** Of the log-normal work of flows; 0: exponential. */
+    public double workSpread = 0.47;
     public long coldNs = 9_000_000_000L;
     public double coldFrom = 0.3;
     public long transitNs = 120_000_000L;
@@ -61,7 +63,7 @@
     public final List<Trouble> troubles = new ArrayList<>();
 
     private static final List<String> KEYWORDS = List.of("coordinators", "proxies", "backends", "zones", "slices",
-            "rate", "length", "seed", "retries", "cold", "transit", "sums-late", "notice", "takeover", "lease", "list", "memory",
+            "rate", "length", "seed", "work", "retries", "cold", "transit", "sums-late", "notice", "takeover", "lease", "list", "memory",
             "set", "at");
 
     public static Script read(Path file, List<Problem> problems) {
@@ -125,6 +127,13 @@
             case "rate" -> rate = w.number("flows a second", 0.1, 200_000);
             case "length" -> lengthNs = w.time("the day's length");
             case "seed" -> seed = w.whole("a seed", 0, Long.MAX_VALUE);
+            case "work" -> {
+                if (w.oneOf("spread", "exponential").equals("spread")) {
+                    workSpread = w.number("the log-normal spread of flows' work", 0.001, 3);
+                } else {
+                    workSpread = 0;
+                }
+            }
             case "retries" -> retries = (int) w.whole("a client's own retries", 0, 5);
             case "cold" -> {
                 coldFrom = w.share("the part a cold backend can do");
--- a/src/main/java/puffinbarrow/emulator/Baseline.java
+++ b/src/main/java/puffinbarrow/emulator/Baseline.java
@@ -58,6 +58,7 @@
 
     final void move(int slice, String to) {
         wanted.put(slice, to);
+        leaving.putIfAbsent(slice, mine.get(slice));
         mine.put(slice, to);
     }
 
@@ -106,7 +107,6 @@
         } else if (cycleAt == Long.MIN_VALUE) {
             orders.add(new Order.Follow(true));
         }
-        Map<Integer, String> before = new HashMap<>(mine);
         if (changed || now >= cycleAt) {
             orphans();
         }
@@ -114,12 +114,6 @@
             cycleAt = now + settings.roundNs();
             better();
         }
-        for (Map.Entry<Integer, String> slice : before.entrySet()) {
-            if (wanted.containsKey(slice.getKey())) {
-                // What the proxies have until the change leaves.
-                leaving.putIfAbsent(slice.getKey(), slice.getValue());
-            }
-        }
         if (levels) {
             orders.add(new Order.SetLevel(Order.ALL_TABLES, 0, 1, Order.Retry.ON_PROOF));
         }
--- a/src/main/java/puffinbarrow/emulator/Clients.java
+++ b/src/main/java/puffinbarrow/emulator/Clients.java
@@ -1,5 +1,8 @@
 package puffinbarrow.emulator;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.IntConsumer;
 import org.HdrHistogram.Histogram;
 import puffinbarrow.load.Arrivals;
@@ -15,6 +18,7 @@
         final long startNs;
         int attempt;
         boolean over;
+        private Proxy.Flow proxied;
 
         Open(Flow flow) {
             this.flow = flow;
@@ -29,8 +33,8 @@
                     answered(code);
                 }
             });
-            world.after(networkNs, () -> fleet.proxies.get(flow.target()).request(scenario.sliceOf(flow.key()), flow.group(),
-                    flow.key(), flow.workNs(), startNs + group().expiryNs(), answer));
+            world.after(networkNs, () -> proxied = fleet.proxies.get(flow.target()).request(scenario.sliceOf(flow.key()),
+                    flow.group(), flow.key(), flow.workNs(), startNs + group().expiryNs(), answer));
         }
 
         private Scenario.Group group() {
@@ -87,6 +91,7 @@
     final double[] asked, got;
     /** Work asked of each slice lately, in nanoseconds of one core a second; for policies that see the true state. */
     final double[] sliceWork;
+    private final List<ArrayDeque<Open>> expiring = new ArrayList<>();
     private long beganAt;
     long intended, retries, open, mostOpen;
 
@@ -100,6 +105,7 @@
         latency = new Histogram[groups];
         for (int i = 0; i < groups; i++) {
             latency[i] = new Histogram(MOST_US, 3);
+            expiring.add(new ArrayDeque<>());
         }
         counts = new long[groups][Result.Outcome.values().length];
         int seconds = (int) (scenario.lengthNs / SECOND) + 1;
@@ -128,15 +134,33 @@
             asked[(int) (flow.startNs() / SECOND)] += one.group().utility();
             sliceWork[scenario.sliceOf(flow.key())] += flow.workNs();
             one.send();
-            world.after(one.group().expiryNs(), () -> {
-                if (!one.over) {
-                    one.end(Result.Outcome.TIMED_OUT);
-                }
-            });
+            ArrayDeque<Open> others = expiring.get(flow.group());
+            others.addLast(one);
+            if (others.size() == 1) {
+                world.at(one.startNs + one.group().expiryNs(), () -> expire(others));
+            }
             next();
         });
     }
 
+    /** Flows of a group expire in the order they began: one timer, at the first that is not over, serves them all. */
+    private void expire(ArrayDeque<Open> group) {
+        Open first = group.pollFirst();
+        if (!first.over) {
+            first.end(Result.Outcome.TIMED_OUT);
+            if (first.proxied != null) {
+                first.proxied.expire();
+            }
+        }
+        while (!group.isEmpty() && group.peekFirst().over) {
+            group.pollFirst();
+        }
+        if (!group.isEmpty()) {
+            Open next = group.peekFirst();
+            world.at(next.startNs + next.group().expiryNs(), () -> expire(group));
+        }
+    }
+
     /** Halves each second, so that the sum is that of about the last second twice over. */
     private void decay() {
         for (int i = 0; i < sliceWork.length; i++) {
--- a/src/main/java/puffinbarrow/emulator/Fleet.java
+++ b/src/main/java/puffinbarrow/emulator/Fleet.java
@@ -30,6 +30,8 @@
     /** In simulated time; a fleet that is not up by then never will be. */
     private static final long UP_WITHIN_NS = 120 * SECOND;
     private static final long LOOK_NS = 20_000_000L;
+    /** Times that each proxy may be cut off by a full channel. */
+    private static final int MOST_CUT_OFF = 20;
     /** So that what was on its way when the fleet came up has come; as on sockets. */
     private static final long SETTLED_NS = 300_000_000L;
 
@@ -52,6 +54,7 @@
     private Scenario scenario;
     private Clients clients;
     private long beganAt;
+    private String flooding;
 
     /** @param policy what the coordinators decide with */
     public Fleet(Setup setup, Policy policy, Agenda agenda, long mostEvents) {
@@ -134,6 +137,7 @@
         for (Host host : hosts) {
             failed = failed == null ? host.failure() : failed;
         }
+        failed = failed == null ? flooding : failed;
         return outcome(failed);
     }
 
@@ -153,6 +157,7 @@
             // Stands for the proxy of that number; nothing is sent to it.
             targets.add(new InetSocketAddress("127.0.0.1", 1 + proxy.number % 65_535));
         }
+        watch();
         while (!up()) {
             if (world.now() - World.EPOCH_NS > UP_WITHIN_NS) {
                 throw new IllegalStateException("the fleet did not come up within " + UP_WITHIN_NS / SECOND + " s");
@@ -162,6 +167,9 @@
                     throw new IllegalStateException(host.failure());
                 }
             }
+            if (flooding != null) {
+                throw new IllegalStateException(flooding);
+            }
             world.run(world.now() + LOOK_NS);
         }
         world.run(world.now() + SETTLED_NS);
@@ -175,6 +183,19 @@
         }
     }
 
+    /** Orders that the channel cannot take cut proxies off, which join anew: a policy that goes on so is none. */
+    private void watch() {
+        long cutOff = 0;
+        for (Host host : hosts) {
+            cutOff += host.cutOff + (long) host.figure("channel.cut_off");
+        }
+        if (cutOff > MOST_CUT_OFF * (long) proxies.size()) {
+            flooding = "the policy floods its channel: proxies were cut off " + cutOff + " times";
+            stop();
+        }
+        world.after(SECOND, this::watch);
+    }
+
     private boolean up() {
         for (int slice = 0; slice < script.slices; slice++) {
             if (store.owner(slice) < 0) {
--- a/src/main/java/puffinbarrow/emulator/Outcome.java
+++ b/src/main/java/puffinbarrow/emulator/Outcome.java
@@ -15,7 +15,7 @@
     public String failed;
     public double service, worst;
     public long intended, inBudget, late, blocked, dropped, retries, retried;
-    public double p50Ms, p99Ms, p999Ms;
+    public double p50Ms, p90Ms, p99Ms, p999Ms;
     public long moves, handed, refusedWrites, staleSeen, cutOff, turns, events, mostOpen;
     public double linesSent;
     /** Rules that broke, joined by plus signs. */
@@ -42,6 +42,7 @@
         dropped = clients.count(Result.Outcome.FAILED) + clients.count(Result.Outcome.TIMED_OUT);
         Histogram all = clients.all();
         p50Ms = all.getValueAtPercentile(50) / 1e3;
+        p90Ms = all.getValueAtPercentile(90) / 1e3;
         p99Ms = all.getValueAtPercentile(99) / 1e3;
         p999Ms = all.getValueAtPercentile(99.9) / 1e3;
         groups = scenario.groups.stream().map(Scenario.Group::name).toList();
--- a/src/main/java/puffinbarrow/emulator/Proxy.java
+++ b/src/main/java/puffinbarrow/emulator/Proxy.java
@@ -35,6 +35,7 @@
         /** Few tries, so a list is as good as a set. */
         final List<Server> tried = new ArrayList<>(2);
         int attempt;
+        private Attempt current;
 
         Flow(long id, int slice, int group, int key, long workNs, long cameAt, long expiresAt, IntConsumer answer) {
             this.id = id;
@@ -46,6 +47,13 @@
             this.expiresAt = expiresAt;
             this.answer = answer;
         }
+
+        /** It has expired: an open try ends now. */
+        void expire() {
+            if (current != null) {
+                current.timeOut();
+            }
+        }
     }
 
     /** One try at one server. */
@@ -495,7 +503,7 @@
     // ---- Flows.
 
     /** A flow came from a client; the answer's code goes back by it. */
-    void request(int slice, int group, int key, long workNs, long expiresAt, IntConsumer answer) {
+    Flow request(int slice, int group, int key, long workNs, long expiresAt, IntConsumer answer) {
         Flow flow = new Flow(nextFlow++, slice, group, key, workNs, world.now(), expiresAt, answer);
         Voice voice = voice(flow);
         if (voice != null) {
@@ -507,6 +515,7 @@
         } else {
             flow.answer.accept(Server.TURNED_AWAY);
         }
+        return flow;
     }
 
     private Voice voice(Flow flow) {
@@ -542,9 +551,11 @@
         fleet.seen(new Seen.Sent(now, number, server.id(), flow.slice, flow.group, flow.id, flow.attempt, flow.workNs,
                 voice == null ? -1 : voice.host.number));
         flow.attempt++;
-        long timeout = flow.expiresAt - now;
-        if (mayFollow(flow, retry(flow))) {
-            timeout = Math.min(timeout, (long) (model.tryBudgets * config.groups.get(flow.group).budgetNs()));
+        flow.current = attempt;
+        // The client's own timer ends the last try with the flow; one that may be followed ends sooner.
+        long soon = (long) (model.tryBudgets * config.groups.get(flow.group).budgetNs());
+        if (soon < flow.expiresAt - now && mayFollow(flow, retry(flow))) {
+            world.after(soon, attempt::timeOut);
         }
         if (model.pick == Model.Pick.TWO_CHOICES) {
             inFlight.computeIfAbsent(server, s -> new int[1])[0]++;
@@ -556,7 +567,6 @@
             attempt.opened = true;
             world.after(model.networkNs, () -> opens(attempt));
         }
-        world.after(Math.max(1_000_000, timeout), attempt::timeOut);
     }
 
     private void opens(Attempt attempt) {
--- a/src/main/java/puffinbarrow/load/Charts.java
+++ b/src/main/java/puffinbarrow/load/Charts.java
@@ -20,8 +20,8 @@
 
 /** A run's charts as PNG, each in a data address so that a page is one file. */
 public final class Charts {
-    private static final int WIDTH = 900;
-    private static final int HEIGHT = 300;
+    public static final int WIDTH = 900;
+    public static final int HEIGHT = 300;
     private static final double[] SHOWN = {50, 90, 99, 100};
     /** Up to five nines: more would be a few flows of a run. */
     private static final double MOST_NINES = 1e5;
@@ -30,11 +30,14 @@
         new Color(0x4f, 0x81, 0xbd), new Color(0xc0, 0x39, 0x2b), new Color(0x8e, 0x2f, 0x5c), new Color(0xd9, 0x7c, 0x5e),
         new Color(0xa9, 0x50, 0x3f), new Color(0x6b, 0x2a, 0x1e), new Color(0x99, 0x99, 0x99)};
 
+    static {
+        System.setProperty("java.awt.headless", "true");
+    }
+
     private Charts() {}
 
     /** Title to picture, in the order of a page. */
     public static Map<String, String> all(Result result) throws IOException {
-        System.setProperty("java.awt.headless", "true");
         Map<String, String> charts = new LinkedHashMap<>();
         charts.put("Flows a second, intended and ended", picture(rate(result)));
         charts.put("Outcomes by the second of the intended start", picture(outcomes(result)));
@@ -44,18 +47,19 @@
         return charts;
     }
 
-    private static String picture(Chart<?, ?> chart) throws IOException {
+    /** As a data address. */
+    public static String picture(Chart<?, ?> chart) throws IOException {
         return "data:image/png;base64," + Base64.getEncoder().encodeToString(BitmapEncoder.getBitmapBytes(chart,
                 BitmapEncoder.BitmapFormat.PNG));
     }
 
-    private static XYChart chart(String x, String y) {
+    public static XYChart chart(String x, String y) {
         XYChart chart = new XYChartBuilder().width(WIDTH).height(HEIGHT).xAxisTitle(x).yAxisTitle(y).build();
         style(chart.getStyler());
         return chart;
     }
 
-    private static void style(Styler styler) {
+    public static void style(Styler styler) {
         styler.setLegendPosition(Styler.LegendPosition.OutsideE);
         styler.setChartBackgroundColor(Color.WHITE);
         styler.setPlotBorderVisible(false);
--- a/src/main/java/puffinbarrow/load/Html.java
+++ b/src/main/java/puffinbarrow/load/Html.java
@@ -46,8 +46,13 @@
         model.put("rows", rows(scenario, result));
         model.put("columns", List.of("group", "intended", "in budget", "late", "blocked", "lost", "never sent", "p50 ms",
                 "p99 ms", "p99.9 ms", "max ms"));
+        write(file, "page.ftlh", model);
+    }
+
+    /** A template of the program filled with a model. */
+    public static void write(Path file, String template, Map<String, Object> model) throws IOException {
         try (Writer out = Files.newBufferedWriter(file)) {
-            TEMPLATES.getTemplate("page.ftlh").process(model, out);
+            TEMPLATES.getTemplate(template).process(model, out);
         } catch (TemplateException wrong) {
             throw new IOException(wrong);
         }
--- a/src/main/java/puffinbarrow/standin/Store.java
+++ b/src/main/java/puffinbarrow/standin/Store.java
@@ -38,6 +38,7 @@
     private final Set<Stream> readers = new HashSet<>();
     private long refusedWrites;
     private long handed;
+    private long moves;
     private final boolean leases;
     private final TreeMap<Integer, Frame.MemberRecord> members = new TreeMap<>();
     private final TreeMap<Integer, Frame.VoiceRecord> voices = new TreeMap<>();
@@ -125,6 +126,11 @@
         return voice == null ? 0 : voice.term();
     }
 
+    /** Lines that brought a server into a slice's table. */
+    public synchronized long moves() {
+        return moves;
+    }
+
     /** How often a slice changed hands after its first giving. */
     public synchronized long handed() {
         return handed;
@@ -231,6 +237,7 @@
                     continue;
                 }
                 TreeMap<String, Double> table = tables.computeIfAbsent(o.table(), t -> new TreeMap<>());
+                moves += o.weight() > 0 && !table.containsKey(o.server()) ? 1 : 0;
                 if (soleOwner && o.weight() > 0) {
                     table.clear();
                 }
