--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -662,8 +662,11 @@
                 + DEMAND_PART * demand) + REPORT_PART * ownPart * demand;
     }
 
+    private long moves;
+
     private void moved(Slice slice, Server from, Server to) {
         slice.movedAt = now;
+        moves++;
         // The view of placed load is updated at once; reports will take some seconds to show it.
         if (to != null) {
             to.shift.add(now, ownPart * relative(to, each(slice)));
@@ -834,18 +837,24 @@
             return;
         }
         List<Server> usable = servers.values().stream().filter(Server::usable).toList();
+        // Looked for anew only once something moved: else each of a thousand targets would cost a look at all.
+        Server source = null;
+        List<Slice> offered = List.of();
+        long at = -1;
         for (Server server : usable) {
             if (server.state == State.WELL && relative(server, server.demand) < 0.5) {
-                gain(server, usable);
+                source = at == moves ? source : usable.stream().max(BY_SCORE).orElseThrow();
+                offered = at == moves ? offered : movable(source);
+                at = moves;
+                gain(server, source, offered);
             }
         }
         even(usable);
     }
 
     /** A fresh server, or one back from illness, gains a slice a cycle from the most loaded. */
-    private void gain(Server target, List<Server> usable) {
-        Server source = usable.stream().max(BY_SCORE).orElseThrow();
-        movable(source).stream().filter(v -> fits(target, v) && helps(v, source, target))
+    private void gain(Server target, Server source, List<Slice> offered) {
+        offered.stream().filter(v -> fits(target, v) && helps(v, source, target))
                 .max(Comparator.comparingDouble(v -> v.demand)).ifPresent(v -> shift(v, source, target));
     }
 
--- a/src/main/java/puffinbarrow/audit/Audit.java
+++ b/src/main/java/puffinbarrow/audit/Audit.java
@@ -401,8 +401,10 @@
                         + config.graceNs / 1_000_000 + " allowed");
             }
         }
-        boolean knowing = server != null && server.ready && joined != null
-                && (proxy.lastOrderAt.getOrDefault(sent.coordinator(), Long.MIN_VALUE) > server.startToldAt
+        Cold start = cold.get(sent.server());
+        // Of this start: one that was told of an earlier life knows nothing of this one.
+        boolean knowing = server != null && server.ready && joined != null && start != null
+                && server.started == start.start.at() && (proxy.lastOrderAt.getOrDefault(sent.coordinator(), Long.MIN_VALUE) > server.startToldAt
                 || sent.at() - server.startToldAt > config.graceNs);
         coldLoad(sent, knowing);
     }
--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -148,7 +148,7 @@
             } else {
                 storeDialer = dialer("store", config.store, hello, holder::frame, up -> {
                     core.offer(new Input.StoreUp(up));
-                    holder.store(up);
+                    holder.store(up == null ? null : frame -> up.send(FrameWriter.one(frame)));
                 });
                 holder.start();
             }
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -510,6 +510,10 @@
 
     private void messages(long now, List<Order> common, Map<Integer, List<Order>> own, Order.Mark mark,
             boolean levels) {
+        if (common.isEmpty() && own.isEmpty() && (mark == null || !mark.everyProxy())) {
+            // Most turns order nothing: a thousand proxies need not be looked at for that.
+            return;
+        }
         List<Order> carried = levels ? List.of() : List.copyOf(standing.values());
         ByteBuffer shared = null;
         int sharedLines = 0;
--- a/src/main/java/puffinbarrow/coordinator/Holder.java
+++ b/src/main/java/puffinbarrow/coordinator/Holder.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,7 +16,6 @@
 import puffinbarrow.lease.Step;
 import puffinbarrow.lease.Voice;
 import puffinbarrow.proto.Frame;
-import puffinbarrow.proto.FrameWriter;
 
 /**
  * The lease core with the store's stream and a timer around it. Its steps become frames to the store and charges for the
@@ -43,17 +43,17 @@
     /** Begun, but their tables have not come from the store yet. */
     private final Map<Integer, Long> beginning = new HashMap<>();
     private volatile long speakUntil = Long.MIN_VALUE;
-    private Outlet store;
+    private Consumer<Frame> store;
 
     public Holder(CoordinatorConfig config, long incarnation, Timing timing, Predicate<Input> charges, Meters meters) {
         this.config = config;
         this.timing = timing;
         this.charges = charges;
         this.meters = meters;
+        meters.gauge("lease.voices", this, Holder::held);
         this.terms = new AtomicLongArray(config.slices);
         this.lease = new Lease(new Lease.Settings(config.number, config.slices, config.leaseNs,
                 Math.max(8, config.slices / TICKS)), incarnation);
-        meters.gauge("lease.voices", this, Holder::held);
     }
 
     public void start() {
@@ -67,15 +67,15 @@
         start();
     }
 
-    /** The store's stream stands, or is gone (null). */
-    public synchronized void store(Outlet up) {
+    /** The store's stream stands, and takes frames; or it is gone (null). */
+    public synchronized void store(Consumer<Frame> up) {
         store = up;
         beginning.clear();
         if (up == null) {
             carry(lease.disconnected(timing.now()));
         } else {
             carry(lease.connected(timing.now()));
-            up.send(FrameWriter.one(new Frame.Watch()));
+            up.accept(new Frame.Watch());
             // Tables asked for on the former stream.
             for (int slice = 0; slice < config.slices; slice++) {
                 if (lease.speaks(slice) && terms.get(slice) == 0) {
@@ -177,7 +177,7 @@
 
     private void send(Frame frame) {
         if (store != null) {
-            store.send(FrameWriter.one(frame));
+            store.accept(frame);
         }
     }
 
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -56,7 +57,8 @@
     private final Map<Integer, Runner> coordinators = new TreeMap<>();
     private final Map<Integer, InetSocketAddress> addresses = new TreeMap<>();
     private final List<PlainProxy> proxies = new ArrayList<>();
-    private final Map<String, Backend> backends = new TreeMap<>();
+    /** In the order they were made, not of their ports: the same seed strikes the same ones in every run. */
+    private final Map<String, Backend> backends = new LinkedHashMap<>();
     private final Path memories;
     private final Strikes strikes;
     private final List<String> log = Collections.synchronizedList(new ArrayList<>());
--- a/src/main/java/puffinbarrow/day/Stage.java
+++ b/src/main/java/puffinbarrow/day/Stage.java
@@ -10,7 +10,7 @@
 
     void note(String text);
 
-    /** In the order of their ids. */
+    /** In the order they were made. */
     Collection<? extends Machine> machines();
 
     /** A new one, cold from now on, not listed yet. */
--- a/src/main/java/puffinbarrow/emulator/Host.java
+++ b/src/main/java/puffinbarrow/emulator/Host.java
@@ -302,7 +302,7 @@
             if (ofLife != life) {
                 return;
             }
-            Outlet outlet = fleet.store.dial(this);
+            StoreModel.Stream outlet = fleet.store.dial(this);
             if (outlet == null) {
                 later(storePauseNs, () -> dialStore(ofLife), ofLife);
                 storePauseNs = Math.min(MOST_PAUSE_NS, 2 * storePauseNs);
@@ -312,7 +312,7 @@
             awake(() -> {
                 offer(new Input.StoreUp(outlet));
                 if (holder != null) {
-                    holder.store(outlet);
+                    holder.store(outlet::take);
                 }
             });
         });
--- a/src/main/java/puffinbarrow/emulator/Report.java
+++ b/src/main/java/puffinbarrow/emulator/Report.java
@@ -185,6 +185,8 @@
         CategoryChart chart = new CategoryChartBuilder().width(Charts.WIDTH).height(Charts.HEIGHT).yAxisTitle("service").build();
         Charts.style(chart.getStyler());
         List<String> names = new ArrayList<>(troubles);
+        // A dozen names side by side would run into each other.
+        chart.getStyler().setXAxisLabelRotation(45);
         double least = 1;
         int colour = 0;
         for (String policy : policies) {
--- a/src/main/java/puffinbarrow/emulator/StoreModel.java
+++ b/src/main/java/puffinbarrow/emulator/StoreModel.java
@@ -20,7 +20,7 @@
  */
 final class StoreModel {
     /** A coordinator's stream. */
-    private final class Stream implements Outlet {
+    final class Stream implements Outlet {
         final Host host;
         boolean watches;
 
@@ -33,13 +33,16 @@
             if (holders.get(host.number) != this) {
                 return false;
             }
-            Frame frame = fleet.decode(bytes);
+            take(fleet.decode(bytes));
+            return true;
+        }
+
+        void take(Frame frame) {
             world.after(fleet.model.networkNs, () -> {
                 if (holders.get(host.number) == this) {
                     heard(this, frame);
                 }
             });
-            return true;
         }
 
         @Override
@@ -138,7 +141,7 @@
     // ---- Streams of coordinators.
 
     /** Null if it cannot be reached. */
-    Outlet dial(Host host) {
+    Stream dial(Host host) {
         if (away || cut.contains(host.number)) {
             return null;
         }
--- a/src/main/java/puffinbarrow/lease/Shares.java
+++ b/src/main/java/puffinbarrow/lease/Shares.java
@@ -1,5 +1,6 @@
 package puffinbarrow.lease;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
@@ -27,11 +28,12 @@
         int[] numbers = new TreeSet<>(members).stream().mapToInt(Integer::intValue).toArray();
         int most = (int) Math.ceil(ROOM * slices / numbers.length);
         int[] held = new int[numbers.length];
+        HashStream64 hash = HASH.hashStream();
         for (int slice = 0; slice < slices; slice++) {
             int best = -1;
             long rank = 0;
             for (int i = 0; i < numbers.length; i++) {
-                long own = HASH.hashStream().putInt(slice).putInt(numbers[i]).getAsLong();
+                long own = hash.reset().putInt(slice).putInt(numbers[i]).getAsLong();
                 if (held[i] < most && (best < 0 || Long.compareUnsigned(own, rank) > 0)) {
                     best = i;
                     rank = own;
