Decisions look for lines and urgencies once, not once for each server or comparison

Cause: at 600 servers and 6,000 slices a batch cost servers times slices while servers returned, and a sort worked out urgencies at each comparison.

Change: what sent lines name is looked for once a decision and once a push; a slice's urgency once a push.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -124,6 +124,8 @@
         final TreeMap<String, Double> want = new TreeMap<>();
         final TreeMap<String, Double> sent = new TreeMap<>();
         final Ring heard = new Ring(8, SECOND);
+        /** At the latest push. */
+        int urgency;
         double demand;
         long movedAt = Long.MIN_VALUE / 2;
         long settledAt;
@@ -931,6 +933,7 @@
 
     private void decide() {
         dirty = false;
+        lined = null;
         for (Server server : servers.values()) {
             if (server.state == State.ILL && now >= server.holdUntil) {
                 step(server, Input.HOLD_OVER);
@@ -951,8 +954,15 @@
         push();
     }
 
+    /** Servers that sent lines of own slices name, looked for once a decision and a push; null: not yet. */
+    private Set<String> lined;
+
     private boolean noLineOn(String id) {
-        return Arrays.stream(slices).noneMatch(v -> v.mine && v.sent.containsKey(id));
+        if (lined == null) {
+            lined = new HashSet<>();
+            Arrays.stream(slices).filter(v -> v.mine).forEach(v -> lined.addAll(v.sent.keySet()));
+        }
+        return !lined.contains(id);
     }
 
     /**
@@ -971,9 +981,11 @@
 
     private void push() {
         Arrays.stream(slices).filter(v -> v.want.equals(v.sent)).forEach(v -> v.settledAt = now);
-        List<Slice> due = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent))
-                .sorted(Comparator.comparing(this::urgency).thenComparing(v -> v.settledAt)
-                        .thenComparing(v -> v.number)).toList();
+        lined = null;
+        List<Slice> late = Arrays.stream(slices).filter(v -> v.mine && !v.want.equals(v.sent)).toList();
+        late.forEach(v -> v.urgency = urgency(v));
+        List<Slice> due = late.stream().sorted(Comparator.<Slice>comparingInt(v -> v.urgency)
+                .thenComparing(v -> v.settledAt).thenComparing(v -> v.number)).toList();
         List<Server> masks = servers.values().stream().filter(v -> v.masked()
                 && (masksDue.contains(v.id) || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
         TreeSet<String> lifted = new TreeSet<>(maskSent);
