One piece each for list entries, what 'all' cuts, and drawn lines; dead code out

Cause: on reading again, sockets and emulator each made list entries and spelt out what a cut from all means; two loops drew the same lines of an experiment; the audit looked a server up twice for each send; a list of words was kept that nobody read.

Change: Plan.entry, parts of a cut in Strikes, one drawing, one look-up. Behaviour as before.

--- a/src/main/java/puffinbarrow/audit/Audit.java
+++ b/src/main/java/puffinbarrow/audit/Audit.java
@@ -406,11 +406,10 @@
         boolean knowing = server != null && server.ready && joined != null && start != null
                 && server.started == start.start.at() && (proxy.lastOrderAt.getOrDefault(sent.coordinator(), Long.MIN_VALUE) > server.startToldAt
                 || sent.at() - server.startToldAt > config.graceNs);
-        coldLoad(sent, knowing);
+        coldLoad(sent, start, knowing);
     }
 
-    private void coldLoad(Seen.Sent sent, boolean knowing) {
-        Cold server = cold.get(sent.server());
+    private void coldLoad(Seen.Sent sent, Cold server, boolean knowing) {
         if (server == null || server.start.coldNs() <= 0
                 || sent.at() - server.start.at() > server.start.coldNs() + config.fallNs) {
             return;
--- a/src/main/java/puffinbarrow/day/Day.java
+++ b/src/main/java/puffinbarrow/day/Day.java
@@ -120,12 +120,6 @@
         return backend;
     }
 
-    private Event.Entry entry(Backend backend, Event.Listed listed) {
-        // The listed size is the nominal one; what a machine really does differs by its speed.
-        return new Event.Entry(backend.id(), backend.shape().zone(), 0, backend.shape().cell(), listed, 1,
-                backend.startedAt());
-    }
-
     private void start(int number) throws IOException {
         Runner coordinator;
         try {
@@ -150,7 +144,7 @@
     public Page run() throws IOException, InterruptedException {
         out.println("seed " + script.seed);
         for (int i = 0; i < script.backends; i++) {
-            registry.set(entry(backend(), Event.Listed.READY));
+            registry.set(Plan.entry(machine(backend()), Event.Listed.READY));
         }
         List<String> ids = new ArrayList<>(backends.keySet());
         for (int i = 0; i < script.slices; i++) {
@@ -355,7 +349,7 @@
 
         @Override
         public void list(List<? extends Machine> some, Event.Listed as) {
-            registry.set(some.stream().map(m -> entry(backends.get(m.id()), as)).toList());
+            registry.set(some.stream().map(m -> Plan.entry(m, as)).toList());
         }
 
         @Override
@@ -400,21 +394,14 @@
         @Override
         public void cut(int number, String from, boolean on) {
             Runner coordinator = coordinators.get(number);
-            boolean all = from.equals("all");
-            if (all || from.equals("store")) {
-                coordinator.cutStore(on);
-            }
-            if (all || from.equals("registry")) {
-                coordinator.cutRegistry(on);
-            }
-            if (all || from.equals("peers")) {
-                coordinators.forEach((other, c) -> {
+            switch (from) {
+                case "store" -> coordinator.cutStore(on);
+                case "registry" -> coordinator.cutRegistry(on);
+                case "peers" -> coordinators.forEach((other, c) -> {
                     coordinator.cutPeer(other, on);
                     c.cutPeer(number, on);
                 });
-            }
-            if (all || from.equals("proxies")) {
-                proxies.forEach(p -> p.cut(number, on));
+                default -> proxies.forEach(p -> p.cut(number, on));
             }
         }
 
--- a/src/main/java/puffinbarrow/day/Plan.java
+++ b/src/main/java/puffinbarrow/day/Plan.java
@@ -8,6 +8,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import puffinbarrow.config.CoordinatorConfig;
 import puffinbarrow.config.Problem;
+import puffinbarrow.control.Event;
 import puffinbarrow.load.Scenario;
 import puffinbarrow.net.Net;
 
@@ -110,6 +111,11 @@
         return config;
     }
 
+    /** A machine's line in the list. The size is the nominal one; what a machine really does differs by its speed. */
+    public static Event.Entry entry(Machine machine, Event.Listed listed) {
+        return new Event.Entry(machine.id(), machine.zone(), 0, machine.cell(), listed, 1, machine.startedAt());
+    }
+
     /** How long the longest repeat of a deduped flow is known. */
     public static long dedupNs(CoordinatorConfig config) {
         return config.groups.stream().mapToLong(CoordinatorConfig.Group::windowNs).max().orElse(0);
--- a/src/main/java/puffinbarrow/day/Stage.java
+++ b/src/main/java/puffinbarrow/day/Stage.java
@@ -32,6 +32,7 @@
     /** It hands its charges on. */
     void leave(int coordinator);
 
+    /** From the store, the registry, its peers or the proxies. */
     void cut(int coordinator, String from, boolean on);
 
     /** Cuts the first so many proxies from all coordinators, or heals them. */
--- a/src/main/java/puffinbarrow/day/Strikes.java
+++ b/src/main/java/puffinbarrow/day/Strikes.java
@@ -151,8 +151,12 @@
                 case STORE_AWAY -> during(t, () -> stage.storeAway(true), () -> stage.storeAway(false));
                 case STORE_SLOW -> during(t, () -> stage.storeSlow((long) t.factor()), () -> stage.storeSlow(0));
                 case STORE_LOSES -> during(t, () -> stage.storeLoses(t.share()), () -> stage.storeLoses(0));
-                case CUT -> during(t, () -> stage.cut(t.number(), t.from(), true),
-                        () -> stage.cut(t.number(), t.from(), false));
+                case CUT -> {
+                    List<String> parts = t.from().equals("all") ? List.of("store", "registry", "peers", "proxies")
+                            : List.of(t.from());
+                    during(t, () -> parts.forEach(part -> stage.cut(t.number(), part, true)),
+                            () -> parts.forEach(part -> stage.cut(t.number(), part, false)));
+                }
                 case UNHEARD -> {
                     int some = (int) Math.round(t.share() * stage.proxies());
                     during(t, () -> stage.unheard(some, true), () -> stage.unheard(some, false));
--- a/src/main/java/puffinbarrow/emulator/Experiment.java
+++ b/src/main/java/puffinbarrow/emulator/Experiment.java
@@ -188,13 +188,19 @@
 
     /** The drawn lines of a seed: the same for all levels and policies, so that runs can be compared in pairs. */
     List<String> draws(long seed) {
-        List<String> own = new ArrayList<>();
+        return standing(seed).stream().map(Standing::line).toList();
+    }
+
+    private record Standing(Drawn of, String line) {}
+
+    private List<Standing> standing(long seed) {
+        List<Standing> own = new ArrayList<>();
         UniformRandomProvider chance = chance(seed);
         for (Drawn each : drawn) {
             boolean stands = chance.nextDouble() < each.share;
             String line = draw(each, chance);
             if (stands) {
-                own.add(line);
+                own.add(new Standing(each, line));
             }
         }
         return own;
@@ -202,16 +208,7 @@
 
     /** Which of the named lines stand at a seed. */
     public List<String> troubles(long seed) {
-        List<String> names = new ArrayList<>();
-        UniformRandomProvider chance = chance(seed);
-        for (Drawn each : drawn) {
-            boolean stands = chance.nextDouble() < each.share;
-            draw(each, chance);
-            if (stands && !each.name.isEmpty() && !names.contains(each.name)) {
-                names.add(each.name);
-            }
-        }
-        return names;
+        return standing(seed).stream().map(s -> s.of.name).filter(n -> !n.isEmpty()).distinct().toList();
     }
 
     /** A day's text. */
--- a/src/main/java/puffinbarrow/emulator/Fleet.java
+++ b/src/main/java/puffinbarrow/emulator/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
-import org.HdrHistogram.Histogram;
 import puffinbarrow.audit.Audit;
 import puffinbarrow.audit.Seen;
 import puffinbarrow.config.CoordinatorConfig;
@@ -19,7 +18,6 @@
 import puffinbarrow.day.Script;
 import puffinbarrow.day.Stage;
 import puffinbarrow.day.Strikes;
-import puffinbarrow.load.Result;
 import puffinbarrow.load.Scenario;
 import puffinbarrow.proto.Frame;
 import puffinbarrow.proto.FrameReader;
@@ -142,7 +140,7 @@
     }
 
     private void begin() {
-        List<Event.Entry> list = servers.values().stream().map(s -> entry(s, Event.Listed.READY)).toList();
+        List<Event.Entry> list = servers.values().stream().map(s -> Plan.entry(s, Event.Listed.READY)).toList();
         registry.set(list);
         List<Server> all = new ArrayList<>(servers.values());
         for (int i = 0; i < script.slices; i++) {
@@ -240,11 +238,6 @@
 
     // ---- Where the script strikes.
 
-    private static Event.Entry entry(Machine machine, Event.Listed listed) {
-        // The listed size is the nominal one; what a machine really does differs by its speed.
-        return new Event.Entry(machine.id(), machine.zone(), 0, machine.cell(), listed, 1, machine.startedAt());
-    }
-
     @Override
     public void after(long ns, Runnable work) {
         world.after(ns, work);
@@ -269,7 +262,7 @@
 
     @Override
     public void list(List<? extends Machine> some, Event.Listed as) {
-        registry.set(some.stream().map(m -> entry(m, as)).toList());
+        registry.set(some.stream().map(m -> Plan.entry(m, as)).toList());
     }
 
     @Override
@@ -305,18 +298,11 @@
     @Override
     public void cut(int number, String from, boolean on) {
         Host host = hosts.get(number);
-        boolean all = from.equals("all");
-        if (all || from.equals("store")) {
-            store.cut(host, on);
-        }
-        if (all || from.equals("registry")) {
-            host.cutRegistry(on);
-        }
-        if (all || from.equals("peers")) {
-            host.cutPeers(on);
-        }
-        if (all || from.equals("proxies")) {
-            proxies.forEach(p -> p.voice(number).cut(on));
+        switch (from) {
+            case "store" -> store.cut(host, on);
+            case "registry" -> host.cutRegistry(on);
+            case "peers" -> host.cutPeers(on);
+            default -> proxies.forEach(p -> p.voice(number).cut(on));
         }
     }
 
--- a/src/main/java/puffinbarrow/emulator/Host.java
+++ b/src/main/java/puffinbarrow/emulator/Host.java
@@ -43,7 +43,7 @@
 
         @Override
         public List<Event.Recalled> recall(List<Event.Entry> list) {
-            List<Event.Recalled> events = Recall.of(image, list, now(), notBelieved);
+            List<Event.Recalled> events = Recall.of(image, list, now(), new ArrayList<>());
             recalled += events.size();
             return events;
         }
@@ -78,7 +78,6 @@
     private final List<Runnable> kept = new ArrayList<>();
     private String failure;
     long decisionNs, decisionEvents, turns, cutOff, recalled;
-    final List<String> notBelieved = new ArrayList<>();
 
     Host(Fleet fleet, int number, Controller.Factory decisions) {
         this.fleet = fleet;
