--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -283,9 +283,13 @@
             });
         }
 
+        @Override
+        public void opened(Link fresh) {
+            link = fresh;
+        }
+
         @Override
         public void received(Link from, ByteBuffer bytes) {
-            link = from;
             heardAt = System.nanoTime();
             mustSpeakBy = Long.MAX_VALUE;
             if (refused) {
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -106,7 +106,7 @@
     private boolean recalled;
     private final Meters meters;
     private final boolean sliced;
-    private final Inbox inbox;
+    private final Inbox<Input> inbox;
     private final PacedChannel channel;
     private final Gather gather;
     private final FrameWriter writer = new FrameWriter();
@@ -137,7 +137,7 @@
         this.around = around;
         this.meters = meters;
         this.sliced = config.slices > 0;
-        this.inbox = new Inbox(config.inbox);
+        this.inbox = new Inbox<>(config.inbox);
         this.channel = new PacedChannel(config.queueLines, tempo.linesPerS(), config.messages, config.messagesSpanNs);
         this.gather = new Gather(tempo.intakePerS(), tempo.gatherNs());
         this.controller = factory.start(config.settings(), config.seed);
--- a/src/main/java/puffinbarrow/coordinator/Inbox.java
+++ b/src/main/java/puffinbarrow/coordinator/Inbox.java
@@ -12,8 +12,8 @@
  * that offers into a full inbox stops reading until the next drain, so what waits is at most the limit and one read's
  * worth of frames for each stream.
  */
-final class Inbox {
-    private final ConcurrentLinkedQueue<Input> queue = new ConcurrentLinkedQueue<>();
+public final class Inbox<T> {
+    private final ConcurrentLinkedQueue<T> queue = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Outlet> stopped = new ConcurrentLinkedQueue<>();
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicLong offered = new AtomicLong();
@@ -21,7 +21,7 @@
     private volatile Thread reader;
     private volatile long overflows;
 
-    Inbox(int limit) {
+    public Inbox(int limit) {
         this.limit = limit;
     }
 
@@ -29,12 +29,12 @@
         limit = frames;
     }
 
-    void reader(Thread thread) {
+    public void reader(Thread thread) {
         reader = thread;
     }
 
     /** Takes it in any case; false asks the caller's stream to stop reading, {@link #stopped} to be told when to go on. */
-    boolean offer(Input input) {
+    public boolean offer(T input) {
         queue.add(input);
         offered.incrementAndGet();
         int now = size.incrementAndGet();
@@ -43,17 +43,17 @@
     }
 
     /** Notes a stream that stopped; it is resumed after the next drain. */
-    void stopped(Outlet outlet) {
+    public void stopped(Outlet outlet) {
         overflows++;
         stopped.add(outlet);
         LockSupport.unpark(reader);
     }
 
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return queue.isEmpty() && stopped.isEmpty();
     }
 
-    int size() {
+    public int size() {
         return size.get();
     }
 
@@ -66,10 +66,10 @@
         return overflows;
     }
 
-    List<Input> drain() {
-        List<Input> all = new ArrayList<>();
+    public List<T> drain() {
+        List<T> all = new ArrayList<>();
         // No more than the limit in one turn: a flood is decided in portions, and timers come in between.
-        for (Input next = queue.poll(); next != null; next = all.size() < limit ? queue.poll() : null) {
+        for (T next = queue.poll(); next != null; next = all.size() < limit ? queue.poll() : null) {
             all.add(next);
             size.decrementAndGet();
         }
--- a/src/main/java/puffinbarrow/coordinator/Orca.java
+++ b/src/main/java/puffinbarrow/coordinator/Orca.java
@@ -20,11 +20,15 @@
     private Orca() {}
 
     public static Map<Event.Measure, Double> read(String header) {
+        return header.startsWith("TEXT ") ? read(header.substring(5), NAMES, '=') : new EnumMap<>(Event.Measure.class);
+    }
+
+    /** Pairs of a name and a figure, with other names for the same measures. */
+    public static Map<Event.Measure, Double> read(String text, Map<String, Event.Measure> names, char between) {
         Map<Event.Measure, Double> report = new EnumMap<>(Event.Measure.class);
-        String text = header.startsWith("TEXT ") ? header.substring(5) : "";
         for (String pair : text.split(",")) {
-            int equals = pair.indexOf('=');
-            Event.Measure measure = equals < 0 ? null : NAMES.get(pair.substring(0, equals).trim());
+            int equals = pair.indexOf(between);
+            Event.Measure measure = equals < 0 ? null : names.get(pair.substring(0, equals).trim());
             if (measure != null) {
                 try {
                     double value = Double.parseDouble(pair.substring(equals + 1).trim());
--- a/src/main/java/puffinbarrow/coordinator/Prober.java
+++ b/src/main/java/puffinbarrow/coordinator/Prober.java
@@ -13,8 +13,13 @@
 import puffinbarrow.net.Link;
 import puffinbarrow.net.Net;
 
-/** Probes a backend with one {@code GET /probe} on a stream of its own; every probe ends in exactly one answer. */
-final class Prober {
+/** Probes a backend with one GET on a stream of its own; every probe ends in exactly one answer. */
+public final class Prober {
+    /** Where to ask, and what a good answer says of the load. */
+    public record Question(String path, Function<HttpParser.Message, Map<Event.Measure, Double>> report) {}
+
+    private static final Question OURS = new Question("/probe", reply -> Orca.read(reply.header(Orca.HEADER)));
+
     /** As long as proxies wait for a connection; a pause of a server is longer and counts as a miss. */
     private static final long TIMEOUT_MS = 250;
     /** Above the servers of a fleet that one list change can name; more at once are answered as misses. */
@@ -25,12 +30,18 @@
 
     private final Function<String, InetSocketAddress> addresses;
     private final long timeoutMs;
+    private final Question question;
 
     Prober(Net net) {
-        this(net, Prober::address, TIMEOUT_MS);
+        this(net, Prober::address, TIMEOUT_MS, OURS);
     }
 
     Prober(Net net, Function<String, InetSocketAddress> addresses, long timeoutMs) {
+        this(net, addresses, timeoutMs, OURS);
+    }
+
+    public Prober(Net net, Function<String, InetSocketAddress> addresses, long timeoutMs, Question question) {
+        this.question = question;
         this.net = net;
         this.addresses = addresses;
         this.timeoutMs = timeoutMs;
@@ -42,7 +53,7 @@
                 Integer.parseInt(server.substring(colon + 1)));
     }
 
-    void probe(String server, Consumer<Event.Probed> answer) {
+    public void probe(String server, Consumer<Event.Probed> answer) {
         long began = System.nanoTime();
         AtomicBoolean done = new AtomicBoolean();
         Consumer<Map<Event.Measure, Double>> end = report -> {
@@ -58,12 +69,14 @@
             return;
         }
         HttpParser parser = new HttpParser(false, 4096,
-                reply -> end.accept(reply.first().startsWith("2") ? Orca.read(reply.header(Orca.HEADER)) : null));
+                reply -> end.accept(reply.first().startsWith("2") ? question.report.apply(reply) : null));
         Link.Receiver receiver = new Link.Receiver() {
             @Override
             public void received(Link link, ByteBuffer bytes) {
                 parser.feed(bytes);
-                link.close();
+                if (done.get()) {
+                    link.close();
+                }
             }
 
             @Override
@@ -71,8 +84,8 @@
                 end.accept(null);
             }
         };
-        net.dial(to, receiver, 4096, link -> {
-            link.send(ByteBuffer.wrap(("GET /probe HTTP/1.1\r\nhost: " + server + "\r\nconnection: close\r\n\r\n")
+        net.dial(to, receiver, 4096, timeoutMs, link -> {
+            link.send(ByteBuffer.wrap(("GET " + question.path + " HTTP/1.1\r\nhost: " + server + "\r\nconnection: close\r\n\r\n")
                     .getBytes(StandardCharsets.US_ASCII)));
             net.schedule(timeoutMs, link::close);
         }, failed -> end.accept(null));
--- a/src/main/java/puffinbarrow/net/HttpParser.java
+++ b/src/main/java/puffinbarrow/net/HttpParser.java
@@ -37,6 +37,8 @@
     private final boolean requests;
     private final int bodyBytes;
     private final Consumer<Message> out;
+    /** Takes bodies as they come, where an answer goes on for as long as its stream; null: they are kept whole. */
+    private final Consumer<ByteBuffer> pieces;
     private At at = At.START;
     /** Grows to what lines need: thousands of idle streams must not hold 8 KB each. */
     private byte[] line = new byte[128];
@@ -49,6 +51,16 @@
     private int wanted;
 
     public HttpParser(boolean requests, int bodyBytes, Consumer<Message> out) {
+        this(requests, bodyBytes, out, null);
+    }
+
+    /** For an answer whose body has no end: its bytes go to pieces as they come, and out hears of its end alone. */
+    public static HttpParser streaming(Consumer<Message> out, Consumer<ByteBuffer> pieces) {
+        return new HttpParser(false, Integer.MAX_VALUE, out, pieces);
+    }
+
+    private HttpParser(boolean requests, int bodyBytes, Consumer<Message> out, Consumer<ByteBuffer> pieces) {
+        this.pieces = pieces;
         this.requests = requests;
         this.bodyBytes = bodyBytes;
         this.out = out;
@@ -210,7 +222,7 @@
             if (wanted > bodyBytes) {
                 throw new Malformed("body over " + bodyBytes + " bytes");
             }
-            body = new byte[wanted];
+            body = new byte[pieces == null ? wanted : 0];
             at = At.BODY;
             if (wanted == 0) {
                 emit(body);
@@ -227,6 +239,16 @@
 
     private void takeBody(ByteBuffer in) {
         int some = at == At.TO_CLOSE ? in.remaining() : Math.min(in.remaining(), wanted);
+        if (pieces != null) {
+            if (!first.startsWith("2")) {
+                throw new Malformed("status " + first + " " + second);
+            }
+            pieces.accept(in.slice(in.position(), some));
+            in.position(in.position() + some);
+            wanted -= some;
+            bodyDone();
+            return;
+        }
         if (at != At.BODY) {
             if ((long) bodyAt + some > bodyBytes) {
                 throw new Malformed("body over " + bodyBytes + " bytes");
@@ -238,6 +260,10 @@
         in.get(body, bodyAt, some);
         bodyAt += some;
         wanted -= some;
+        bodyDone();
+    }
+
+    private void bodyDone() {
         if (at == At.BODY && wanted == 0) {
             emit(body);
         } else if (at == At.CHUNK && wanted == 0) {
--- a/src/main/java/puffinbarrow/net/Link.java
+++ b/src/main/java/puffinbarrow/net/Link.java
@@ -19,6 +19,9 @@
 
     /** Takes what came. The buffer is read up to its limit and is not kept. */
     public interface Receiver {
+        /** Before anything is read: a peer that never says a word can be closed too. */
+        default void opened(Link link) {}
+
         void received(Link link, ByteBuffer bytes);
 
         void ended(Link link, Cause cause, String detail);
@@ -51,6 +54,7 @@
     }
 
     public void start() {
+        receiver.opened(this);
         read();
     }
 
--- a/src/main/java/puffinbarrow/net/Net.java
+++ b/src/main/java/puffinbarrow/net/Net.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ThreadFactory;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -122,15 +123,34 @@
         }
     }
 
-    /** Dials; one of the two is called on a thread of the group. */
-    public void dial(InetSocketAddress to, Link.Receiver receiver, long queueBytes, Consumer<Link> up,
+    /** Dials and gives up after that long: a far end that vanished says nothing, and would hold the handle. */
+    public void dial(InetSocketAddress to, Link.Receiver receiver, long queueBytes, long withinMs, Consumer<Link> up,
             Consumer<Throwable> failed) {
+        AtomicBoolean connected = new AtomicBoolean();
+        AsynchronousSocketChannel channel = dial(to, receiver, queueBytes, link -> {
+            connected.set(true);
+            up.accept(link);
+        }, failed);
+        schedule(withinMs, () -> {
+            if (channel != null && !connected.get()) {
+                try {
+                    channel.close();
+                } catch (IOException ignored) {
+                    // Its handler hears of the end either way.
+                }
+            }
+        });
+    }
+
+    /** Dials; one of the two is called on a thread of the group. The channel is null if none could be opened. */
+    public AsynchronousSocketChannel dial(InetSocketAddress to, Link.Receiver receiver, long queueBytes,
+            Consumer<Link> up, Consumer<Throwable> failed) {
         AsynchronousSocketChannel channel;
         try {
             channel = AsynchronousSocketChannel.open(group);
         } catch (IOException | RuntimeException full) {
             failed.accept(full);
-            return;
+            return null;
         }
         channel.connect(to, null, new CompletionHandler<Void, Void>() {
             @Override
@@ -151,6 +171,7 @@
                 failed.accept(failure);
             }
         });
+        return channel;
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -0,0 +1,335 @@
+package puffinbarrow.platform;
+
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Order;
+import puffinbarrow.net.HttpCaller;
+import puffinbarrow.net.HttpParser;
+import puffinbarrow.net.Link;
+import puffinbarrow.net.Net;
+
+/**
+ * The relay: calls that carry orders, one at a time and in order, and the stream of its news. A call that ends without
+ * an answer that can be read is made again, as every order sets something and can be said twice. All methods run on
+ * the decision thread; what the channels' threads hear is offered to it.
+ */
+final class RelayClient {
+    /** An answer comes within 50 ms or never; three times that, as our own part of a core may be late to read it. */
+    private static final long ANSWER_MS = 150;
+    private static final long CONNECT_MS = 400;
+    /** The relay closes what stood idle for "about 10 s or less"; a new connection costs one way there and back. */
+    private static final long KEEP_MS = 2000;
+    /** Between tries of a call: soon at first, as time limits wait half a second for a broken one. */
+    private static final long LEAST_PAUSE_MS = 10, MOST_PAUSE_MS = 200;
+    /** A call carries 60,000 bytes of orders at most. */
+    private static final int CALL_BYTES = 50_000;
+    /** Calls that may wait: the decisions order four times a second and hold back what is not acknowledged. */
+    private static final int CALLS = 256;
+    /** A call that is turned back as unreadable so often is not made again: it would hold up all that follow. */
+    private static final int REFUSALS = 3;
+    /** A sign of life comes every second; two missed ones and a little. */
+    private static final long SILENT_NS = 2_300_000_000L;
+    /** What stands comes in one go; quiet for so long and it is whole. A sign of life says so at once. */
+    private static final long SETTLE_MS = 60;
+    private static final long REDIAL_MS = 100;
+
+    private static final class Call {
+        final List<Order> orders = new ArrayList<>();
+        final List<String> texts = new ArrayList<>();
+        int refusals;
+        long pauseMs = LEAST_PAUSE_MS;
+    }
+
+    private final Net net;
+    private final Host host;
+    private final Translation words;
+    private final Standing standing;
+    private final HttpCaller caller;
+    private InetSocketAddress to;
+    private final ArrayDeque<Call> calls = new ArrayDeque<>();
+    private boolean out;
+    private NewsStream stream;
+    /** Orders that a beginning stream of news may not show: on the way when it was asked for, or since. */
+    private final List<Order> sinceAsked = new ArrayList<>();
+
+    RelayClient(Net net, Host host, Translation words, InetSocketAddress to) {
+        this.net = net;
+        this.host = host;
+        this.words = words;
+        this.to = to;
+        this.standing = new Standing(words);
+        this.caller = new HttpCaller(net, CONNECT_MS, KEEP_MS, 64 * 1024);
+    }
+
+    void start() {
+        listen();
+    }
+
+    /** The relay is at another address from now on. */
+    void moved(InetSocketAddress address) {
+        if (!address.equals(to)) {
+            to = address;
+            listen();
+        }
+    }
+
+    Standing standing() {
+        return standing;
+    }
+
+    int waiting() {
+        return calls.size();
+    }
+
+    // ---- Calls.
+
+    /** Orders of one batch: one call, unless they are too many for it. */
+    void order(List<Order> orders) {
+        Call call = new Call();
+        int bytes = 0;
+        for (Order order : orders) {
+            String text = words.order(order);
+            if (bytes + text.length() > CALL_BYTES) {
+                queue(call);
+                call = new Call();
+                bytes = 0;
+            }
+            bytes += text.length() + 1;
+            call.orders.add(order);
+            call.texts.add(text);
+        }
+        queue(call);
+        next();
+    }
+
+    private void queue(Call call) {
+        if (calls.size() == CALLS) {
+            // What was left out must not be believed: all that stands is read anew and told again.
+            host.tally().note("calls.overflowed", "the relay takes none; reading anew what stands");
+            calls.clear();
+            listen();
+        }
+        calls.addLast(call);
+        if (standing.opening()) {
+            sinceAsked.addAll(call.orders);
+        }
+    }
+
+    private void next() {
+        if (out || calls.isEmpty()) {
+            return;
+        }
+        Call call = calls.peekFirst();
+        out = true;
+        byte[] body = ("Action=CommitChanges&changes="
+                + URLEncoder.encode(String.join(";", call.texts), StandardCharsets.UTF_8))
+                .getBytes(StandardCharsets.US_ASCII);
+        byte[] head = ("POST /api/ HTTP/1.1\r\nhost: " + Net.text(to)
+                + "\r\ncontent-type: application/x-www-form-urlencoded\r\ncontent-length: " + body.length + "\r\n\r\n")
+                .getBytes(StandardCharsets.US_ASCII);
+        byte[] request = new byte[head.length + body.length];
+        System.arraycopy(head, 0, request, 0, head.length);
+        System.arraycopy(body, 0, request, head.length, body.length);
+        caller.call(to, request, CONNECT_MS + ANSWER_MS, ended -> host.offer(() -> ended(call, ended)));
+    }
+
+    private void ended(Call call, HttpCaller.Ended ended) {
+        out = false;
+        if (calls.peekFirst() != call) {
+            next();
+            return;
+        }
+        if (ended.answer() == null) {
+            host.tally().note("calls.broken", ended.failure());
+            again(call);
+            return;
+        }
+        String text = new String(ended.answer().body(), StandardCharsets.UTF_8);
+        int taken;
+        try {
+            taken = Translation.taken(text, call.orders.size());
+        } catch (Refused unreadable) {
+            caller.close();
+            if (text.contains("BUSY")) {
+                host.tally().count("calls.busy");
+            } else {
+                host.tally().note("calls.unreadable", unreadable.getMessage());
+                if (text.contains("SYNTAX") && ++call.refusals >= REFUSALS) {
+                    host.tally().note("calls.given_up", Translation.brief(call.texts.toString()));
+                    calls.pollFirst();
+                    next();
+                    return;
+                }
+            }
+            again(call);
+            return;
+        }
+        taken(call, taken);
+    }
+
+    private void taken(Call call, int taken) {
+        host.tally().count("calls.taken");
+        call.orders.subList(0, taken).forEach(standing::took);
+        if (taken == call.orders.size()) {
+            calls.pollFirst();
+        } else {
+            host.tally().note("orders.refused", call.texts.get(taken));
+            call.orders.subList(0, taken + 1).clear();
+            call.texts.subList(0, taken + 1).clear();
+            if (call.orders.isEmpty()) {
+                calls.pollFirst();
+            }
+        }
+        next();
+    }
+
+    private void again(Call call) {
+        long pause = call.pauseMs;
+        call.pauseMs = Math.min(MOST_PAUSE_MS, pause * 2);
+        out = true;
+        net.schedule(pause, () -> host.offer(() -> {
+            out = false;
+            next();
+        }));
+    }
+
+    // ---- News.
+
+    private void listen() {
+        if (stream != null) {
+            stream.close();
+        }
+        stream = new NewsStream();
+        stream.dial();
+    }
+
+    /** Called now and then: a stream that says nothing is as good as broken. */
+    void watch(long now) {
+        if (stream.up && now - stream.heardAt > SILENT_NS) {
+            host.tally().note("news.silent", "for " + (now - stream.heardAt) / 1_000_000 + " ms");
+            listen();
+        }
+    }
+
+    private void begun(NewsStream which) {
+        if (which == stream) {
+            which.up = true;
+            which.heardAt = System.nanoTime();
+            standing.opened();
+            sinceAsked.clear();
+            calls.forEach(call -> sinceAsked.addAll(call.orders));
+        }
+    }
+
+    private void take(NewsStream which, List<EventStream.News> news, long at) {
+        if (which != stream) {
+            return;
+        }
+        which.heardAt = at;
+        List<Event> events = new ArrayList<>();
+        for (EventStream.News each : news) {
+            if (each == EventStream.SIGN) {
+                settle(events);
+                continue;
+            }
+            try {
+                standing.news(each.kind(), each.fields(), events);
+            } catch (Refused wrong) {
+                host.tally().note("news.refused", wrong.getMessage());
+            }
+        }
+        events.forEach(host::happened);
+        if (standing.unsettled()) {
+            net.schedule(SETTLE_MS, () -> host.offer(() -> {
+                if (which == stream && which.heardAt == at) {
+                    List<Event> settled = new ArrayList<>();
+                    settle(settled);
+                    settled.forEach(host::happened);
+                }
+            }));
+        }
+    }
+
+    private void settle(List<Event> events) {
+        if (standing.unsettled()) {
+            List<Order> onTheWay = sinceAsked;
+            if (!standing.opening()) {
+                onTheWay = new ArrayList<>();
+                for (Call call : calls) {
+                    onTheWay.addAll(call.orders);
+                }
+            }
+            standing.settle(onTheWay, events);
+            sinceAsked.clear();
+        }
+    }
+
+    private void lost(NewsStream which, String why) {
+        if (which == stream) {
+            host.tally().note("news.broken", why);
+            which.up = false;
+            net.schedule(REDIAL_MS, () -> host.offer(() -> {
+                if (which == stream) {
+                    listen();
+                }
+            }));
+        }
+    }
+
+    private final class NewsStream implements Link.Receiver {
+        private final EventStream events = new EventStream(this::news);
+        private final HttpParser parser = HttpParser.streaming(end -> close(), events::feed);
+        private final InetSocketAddress at = to;
+        private List<EventStream.News> came = new ArrayList<>();
+        private volatile Link link;
+        private volatile boolean closed;
+        /** On the decision thread. */
+        private boolean up;
+        private long heardAt;
+
+        void dial() {
+            net.dial(at, this, 4096, CONNECT_MS, up -> {
+                link = up;
+                if (closed) {
+                    up.close();
+                    return;
+                }
+                host.offer(() -> begun(this));
+                up.send(ByteBuffer.wrap(("GET /api/stream HTTP/1.1\r\nhost: " + Net.text(at)
+                        + "\r\naccept: text/event-stream\r\n\r\n").getBytes(StandardCharsets.US_ASCII)));
+            }, failure -> host.offer(() -> lost(this, "no connection: " + failure.getMessage())));
+        }
+
+        private void news(EventStream.News news) {
+            came.add(news);
+        }
+
+        @Override
+        public void received(Link from, ByteBuffer bytes) {
+            parser.feed(bytes);
+            List<EventStream.News> now = came;
+            came = new ArrayList<>();
+            long at = System.nanoTime();
+            host.offer(() -> take(this, now, at));
+        }
+
+        void close() {
+            closed = true;
+            Link open = link;
+            if (open != null) {
+                open.close();
+            }
+        }
+
+        @Override
+        public void ended(Link from, Link.Cause cause, String detail) {
+            host.offer(() -> lost(this, cause + " " + detail));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/puffinbarrow/resp/RespWriter.java
@@ -0,0 +1,23 @@
+package puffinbarrow.resp;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** Writes a message as a RESP2 array of bulk strings. */
+public final class RespWriter {
+    private RespWriter() {}
+
+    public static ByteBuffer array(String... parts) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(64);
+        out.writeBytes(("*" + parts.length + "\r\n").getBytes(StandardCharsets.US_ASCII));
+        for (String part : parts) {
+            byte[] bytes = part.getBytes(StandardCharsets.UTF_8);
+            out.writeBytes(("$" + bytes.length + "\r\n").getBytes(StandardCharsets.US_ASCII));
+            out.writeBytes(bytes);
+            out.write('\r');
+            out.write('\n');
+        }
+        return ByteBuffer.wrap(out.toByteArray());
+    }
+}
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -6,10 +6,28 @@
 import puffinbarrow.control.Settings;
 
 /** Turns the wire's settings into ours; keys that are not known here are passed over. */
-final class Facts {
+public final class Facts {
+    /** What hosts that speak in names need of the settings: each list in the order that numbers count in. */
+    public record Names(List<String> zones, List<String> kinds, List<String> groups, int proxies, int slices) {}
+
     private Facts() {}
 
-    static Settings settings(Object facts) {
+    public static Names names(Object facts) {
+        Map<?, ?> all = map(facts, "Facts");
+        Map<?, ?> domain = map(all.get("Domain"), "Domain");
+        List<String> groups = new ArrayList<>();
+        for (Object each : list(all.get("RequestClasses"), "RequestClasses")) {
+            groups.add(String.valueOf(map(each, "RequestClasses").get("Name")));
+        }
+        return new Names(texts(all, "Zones"), texts(all, "Models"), groups, (int) whole(domain, "ProxyCount"),
+                (int) whole(domain, "Ranges"));
+    }
+
+    private static List<String> texts(Map<?, ?> from, String key) {
+        return list(from.get(key), key).stream().map(String::valueOf).toList();
+    }
+
+    public static Settings settings(Object facts) {
         Map<?, ?> all = map(facts, "Facts");
         Map<?, ?> domain = map(all.get("Domain"), "Domain");
         Map<?, ?> rules = map(all.get("Rules"), "Rules");
--- a/src/main/java/puffinbarrow/wire/Json.java
+++ b/src/main/java/puffinbarrow/wire/Json.java
@@ -11,7 +11,7 @@
 import puffinbarrow.control.Event;
 
 /** Reads values one after the other, each of the type the wire states. */
-final class Json {
+public final class Json {
     private static final Map<String, Event.Measure> MEASURES = Map.of(
             "cpu_share", Event.Measure.BUSY, "busy_reqs", Event.Measure.HELD,
             "pending", Event.Measure.WAITING, "svc_ms", Event.Measure.SERVICE_MS,
@@ -19,7 +19,7 @@
 
     private final JsonParser in;
 
-    Json(JsonParser in) {
+    public Json(JsonParser in) {
         this.in = in;
     }
 
@@ -97,7 +97,7 @@
     }
 
     /** Any value: an object as a map, an array as a list, and plain values. */
-    Object any() throws IOException {
+    public Object any() throws IOException {
         return anyHere(in.nextToken());
     }
 
--- a/src/test/java/puffinbarrow/HouseTest.java
+++ b/src/test/java/puffinbarrow/HouseTest.java
@@ -20,6 +20,11 @@
                 .resideInAnyPackage("puffinbarrow", "puffinbarrow.control", "java..").check(all);
         classes().that().resideInAPackage("puffinbarrow.net").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("puffinbarrow.net", "java..").check(all);
+        classes().that().resideInAPackage("puffinbarrow.resp").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("puffinbarrow.resp", "java..").check(all);
+        classes().that().resideInAPackage("puffinbarrow.platform").should().onlyDependOnClassesThat()
+                .resideInAnyPackage("puffinbarrow.platform", "puffinbarrow.control", "puffinbarrow.net", "puffinbarrow.resp",
+                        "puffinbarrow.wire", "puffinbarrow.coordinator", "com.fasterxml.jackson.core", "java..").check(all);
         classes().that().resideInAPackage("puffinbarrow.proto").should().onlyDependOnClassesThat()
                 .resideInAnyPackage("puffinbarrow.proto", "puffinbarrow.control", "java..").check(all);
         noClasses().that().resideInAPackage("puffinbarrow.lease").should().dependOnClassesThat()
--- a/src/test/java/puffinbarrow/coordinator/InterleavingTest.java
+++ b/src/test/java/puffinbarrow/coordinator/InterleavingTest.java
@@ -27,7 +27,7 @@
     @Test
     void nothingThatIsOfferedWhileOthersDrainIsLostOrDoubled() {
         Lincheck.runConcurrentTest(ORDERS, () -> {
-            Inbox inbox = new Inbox(2);
+            Inbox<Input> inbox = new Inbox<>(2);
             AtomicInteger resumed = new AtomicInteger();
             Outlet outlet = new Outlet() {
                 @Override
--- /dev/null
+++ b/src/test/java/puffinbarrow/platform/StandingTest.java
@@ -0,0 +1,91 @@
+package puffinbarrow.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import puffinbarrow.control.Event;
+import puffinbarrow.control.Order;
+import puffinbarrow.wire.Facts;
+
+/** What the relay's news becomes for the decisions, with gaps in it and orders on the way. */
+class StandingTest {
+    private static final Facts.Names NAMES = new Facts.Names(List.of("a", "b"), List.of("m"), List.of("x", "y"), 10, 10);
+
+    private final Standing standing = new Standing(new Translation(NAMES, new Translation.Clock(0, 0)));
+    private final List<Event> out = new ArrayList<>();
+
+    private void news(String... events) {
+        EventStream stream = new EventStream(n -> standing.news(n.kind(), n.fields(), out));
+        for (String event : events) {
+            int space = event.indexOf(' ');
+            stream.feed(ByteBuffer.wrap(("event: " + event.substring(0, space) + "\ndata: " + event.substring(space + 1)
+                    + "\n\n").getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    private List<Event> taken() {
+        List<Event> all = List.copyOf(out);
+        out.clear();
+        return all;
+    }
+
+    private static final Event JOINED = new Event.ProxyJoined(7, true, 21.5, 1);
+
+    @BeforeEach
+    void oneProxyAndTwoSlicesStand() {
+        standing.opened();
+        news("attach id=7&site=b&rps=21.5&new=1", "owner range=1&flag=1", "owner range=2&flag=1",
+                "entry range=1&target=s1&rps=1.0", "entry range=2&target=s2&rps=1.0");
+        assertEquals(List.of(), taken(), "nothing is told before it is whole");
+        standing.settle(List.of(), out);
+        assertEquals(List.of(JOINED, new Event.SliceCharge(1, true), new Event.StoredLine(1, "s1", 1),
+                new Event.SliceCharge(2, true), new Event.StoredLine(2, "s2", 1)), taken());
+    }
+
+    @Test
+    void aSliceGivenLaterIsToldWithItsLines() {
+        news("owner range=3&flag=1", "entry range=3&target=s3&rps=0.5");
+        assertEquals(List.of(), taken());
+        standing.settle(List.of(), out);
+        assertEquals(List.of(new Event.SliceCharge(3, true), new Event.StoredLine(3, "s3", 0.5)), taken());
+        news("owner range=3&flag=0", "done id=7&seq=905&ms=310.4", "detach id=7");
+        assertEquals(List.of(new Event.SliceCharge(3, false), new Event.InForce(7, 905, 310_400_000),
+                new Event.ProxyLeft(7)), taken());
+    }
+
+    @Test
+    void afterAGapOnlyWhatDiffersIsToldAgain() {
+        standing.took(new Order.SetLine(2, "s4", 0.03));
+        standing.opened();
+        news("attach id=7&site=b&rps=21.5&new=1", "owner range=2&flag=1", "entry range=2&target=s2&rps=1.0",
+                "entry range=2&target=s4&rps=0.0300000001");
+        standing.settle(List.of(), out);
+        // Marks of the gap are lost, so the proxy counts as joined anew.
+        assertEquals(List.of(new Event.ProxyLeft(7), JOINED, new Event.SliceCharge(1, false)), taken());
+    }
+
+    @Test
+    void ordersOnTheWayWhenAGapEndsAreNotForgotten() {
+        standing.opened();
+        news("owner range=1&flag=1", "entry range=1&target=s1&rps=1.0", "owner range=2&flag=1", "entry range=2&target=s9&rps=1");
+        List<Order> onTheWay = List.of(new Order.SetLine(1, "s5", 1), new Order.SetLine(1, "s1", 0),
+                new Order.SetLine(2, "s5", 1));
+        standing.settle(onTheWay, out);
+        assertEquals(List.of(new Event.ProxyLeft(7), new Event.SliceCharge(2, true), new Event.StoredLine(2, "s5", 1),
+                new Event.StoredLine(2, "s9", 1)), taken());
+    }
+
+    @Test
+    void newsThatCantBeIsRefused() {
+        for (String wrong : List.of("attach id=10&site=a&rps=1&new=1", "attach id=1&site=c&rps=1&new=1",
+                "owner range=10&flag=1", "owner range=1&flag=2", "entry range=1&rps=1", "done id=1&seq=x&ms=1", "other id=1")) {
+            assertThrows(Refused.class, () -> news(wrong), wrong);
+        }
+    }
+}
