News moves to a new relay without a gap; load reports read by the settings' names

The log shows it 0.2 s after each second stream of news: every proxy was told as left and joined, so Logic forgot what waited in the channel and said all masks again (Standing.settle). Now the old stream goes on until the new one has settled and only differences are told; after a real gap, proxies count as anew only if the channel had time to empty.

--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -54,11 +54,15 @@
     private InetSocketAddress to;
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
     private boolean out;
-    private NewsStream stream;
-    /** Orders that a beginning stream of news may not show: on the way when it was asked for, or since. */
-    private final List<Order> sinceAsked = new ArrayList<>();
+    /** The stream that carries the news, and one that begins and will take its place. */
+    private NewsStream stream, next;
+    /** Since when no stream carries the news. */
+    private long deafSince;
+    /** How long a full channel takes to empty: after a gap that long nothing of before it waits in it. */
+    private final long emptyNs;
 
-    RelayClient(Net net, Host host, Translation words, InetSocketAddress to) {
+    RelayClient(Net net, Host host, Translation words, InetSocketAddress to, long emptyNs) {
+        this.emptyNs = emptyNs;
         this.net = net;
         this.host = host;
         this.words = words;
@@ -105,7 +109,7 @@
             call.texts.add(text);
         }
         queue(call);
-        next();
+        send();
     }
 
     private void queue(Call call) {
@@ -113,15 +117,20 @@
             // What was left out must not be believed: all that stands is read anew and told again.
             host.tally().note("calls.overflowed", "the relay takes none; reading anew what stands");
             calls.clear();
+            deafSince = Long.MIN_VALUE / 2;
+            if (stream != null) {
+                stream.close();
+                stream = null;
+            }
             listen();
         }
         calls.addLast(call);
-        if (standing.opening()) {
-            sinceAsked.addAll(call.orders);
+        if (next != null) {
+            next.sinceAsked.addAll(call.orders);
         }
     }
 
-    private void next() {
+    private void send() {
         if (out || calls.isEmpty()) {
             return;
         }
@@ -142,7 +151,7 @@
     private void ended(Call call, HttpCaller.Ended ended) {
         out = false;
         if (calls.peekFirst() != call) {
-            next();
+            send();
             return;
         }
         if (ended.answer() == null) {
@@ -163,7 +172,7 @@
                 if (text.contains("SYNTAX") && ++call.refusals >= REFUSALS) {
                     host.tally().note("calls.given_up", Translation.brief(call.texts.toString()));
                     calls.pollFirst();
-                    next();
+                    send();
                     return;
                 }
             }
@@ -186,7 +195,7 @@
                 calls.pollFirst();
             }
         }
-        next();
+        send();
     }
 
     private void again(Call call) {
@@ -195,87 +204,105 @@
         out = true;
         net.schedule(pause, () -> host.offer(() -> {
             out = false;
-            next();
+            send();
         }));
     }
 
     // ---- News.
 
+    /** Asks for news; the stream that carries it now goes on until the new one has settled. */
     private void listen() {
-        if (stream != null) {
-            stream.close();
+        if (next != null) {
+            next.close();
         }
-        stream = new NewsStream();
-        stream.dial();
+        next = new NewsStream();
+        next.dial();
     }
 
     /** Called now and then: a stream that says nothing is as good as broken. */
     void watch(long now) {
-        if (stream.up && now - stream.heardAt > SILENT_NS) {
-            host.tally().note("news.silent", "for " + (now - stream.heardAt) / 1_000_000 + " ms");
-            listen();
+        for (NewsStream each : new NewsStream[] {stream, next}) {
+            if (each != null && each.up && now - each.heardAt > SILENT_NS) {
+                each.close();
+                lost(each, "silent for " + (now - each.heardAt) / 1_000_000 + " ms");
+            }
         }
     }
 
     private void begun(NewsStream which) {
-        if (which == stream) {
+        if (which == next) {
             which.up = true;
             which.heardAt = System.nanoTime();
-            standing.opened();
-            sinceAsked.clear();
-            calls.forEach(call -> sinceAsked.addAll(call.orders));
+            which.opening = standing.new Opening();
+            calls.forEach(call -> which.sinceAsked.addAll(call.orders));
         }
     }
 
     private void take(NewsStream which, List<EventStream.News> news, long at) {
-        if (which != stream) {
+        if (which != stream && which != next) {
             return;
         }
         which.heardAt = at;
         List<Event> events = new ArrayList<>();
         for (EventStream.News each : news) {
             if (each == EventStream.SIGN) {
-                settle(events);
+                settle(which, events);
                 continue;
             }
             try {
-                standing.news(each.kind(), each.fields(), events);
+                if (which.opening != null) {
+                    which.opening.news(each.kind(), each.fields(), events);
+                } else {
+                    standing.news(each.kind(), each.fields(), events);
+                }
             } catch (Refused wrong) {
                 host.tally().note("news.refused", wrong.getMessage());
             }
         }
         events.forEach(host::happened);
-        if (standing.unsettled()) {
+        if (which.opening != null || standing.unsettled()) {
             net.schedule(SETTLE_MS, () -> host.offer(() -> {
-                if (which == stream && which.heardAt == at) {
+                if (which.heardAt == at && (which == stream || which == next)) {
                     List<Event> settled = new ArrayList<>();
-                    settle(settled);
+                    settle(which, settled);
                     settled.forEach(host::happened);
                 }
             }));
         }
     }
 
-    private void settle(List<Event> events) {
-        if (standing.unsettled()) {
-            List<Order> onTheWay = sinceAsked;
-            if (!standing.opening()) {
-                onTheWay = new ArrayList<>();
-                for (Call call : calls) {
-                    onTheWay.addAll(call.orders);
-                }
+    private void settle(NewsStream which, List<Event> events) {
+        if (which.opening != null) {
+            boolean anew = stream == null && which.heardAt - deafSince > emptyNs;
+            which.opening.settle(which.sinceAsked, anew, events);
+            which.opening = null;
+            which.sinceAsked.clear();
+            if (stream != null) {
+                stream.close();
             }
+            stream = which;
+            next = null;
+            host.tally().count("news.streams");
+        } else if (standing.unsettled()) {
+            List<Order> onTheWay = new ArrayList<>();
+            calls.forEach(call -> onTheWay.addAll(call.orders));
             standing.settle(onTheWay, events);
-            sinceAsked.clear();
         }
     }
 
     private void lost(NewsStream which, String why) {
         if (which == stream) {
             host.tally().note("news.broken", why);
-            which.up = false;
+            stream = null;
+            deafSince = which.heardAt;
+            if (next == null) {
+                listen();
+            }
+        } else if (which == next) {
+            host.tally().note("news.not_had", why);
+            next = null;
             net.schedule(REDIAL_MS, () -> host.offer(() -> {
-                if (which == stream) {
+                if (next == null && (stream == null || !stream.at.equals(to))) {
                     listen();
                 }
             }));
@@ -292,6 +319,9 @@
         /** On the decision thread. */
         private boolean up;
         private long heardAt;
+        /** Until it has settled: what it has told, and the orders that it may not show. */
+        private Standing.Opening opening;
+        private final List<Order> sinceAsked = new ArrayList<>();
 
         void dial() {
             net.dial(at, this, 4096, CONNECT_MS, up -> {
@@ -315,8 +345,8 @@
             parser.feed(bytes);
             List<EventStream.News> now = came;
             came = new ArrayList<>();
-            long at = System.nanoTime();
-            host.offer(() -> take(this, now, at));
+            long when = System.nanoTime();
+            host.offer(() -> take(this, now, when));
         }
 
         void close() {
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -59,7 +59,8 @@
         Translation words = new Translation(config.names(), clock);
         this.net = new Net("serve", 1);
         this.controller = factory.start(config.settings(), config.seed());
-        this.relay = new RelayClient(net, this, words, config.relay());
+        this.relay = new RelayClient(net, this, words, config.relay(),
+                (long) (config.settings().queueLimit() / Math.max(1, config.settings().linesPerS()) * 1e9));
         this.discovery = new DiscoveryClient(net, this, words, config.discovery(), config.known());
         this.prober = new Prober(net, discovery::address, PROBE_MS,
                 new Prober.Question("/-/load", answer -> Translation.probed(new String(answer.body()))));
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -1,6 +1,5 @@
 package puffinbarrow.platform;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -11,14 +10,13 @@
  * What stands at the relay as its news has told it: joined proxies, slices in our charge with their lines. Pure; one
  * thread. Each stream of news begins with all that stands and no mark tells where that ends, and a slice's giving comes
  * before its lines; so both are held until the owner says that the news has settled, and are then put to the decisions
- * as one: a slice without its lines would look like an orphan. After a gap only what differs is told again.
+ * as one: a slice without its lines would look like an orphan. A stream that follows another is an {@link Opening} of
+ * its own meanwhile, and when it has settled only what differs is told.
  */
 final class Standing {
     private final Translation words;
     private final TreeMap<Integer, Event.ProxyJoined> joined = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<String, Double>> slices = new TreeMap<>();
-    /** While a stream of news begins: what it has told so far. */
-    private TreeMap<Integer, Event.ProxyJoined> opening;
     /** Slices given whose lines may still be coming. */
     private final TreeMap<Integer, TreeMap<String, Double>> given = new TreeMap<>();
 
@@ -26,29 +24,26 @@
         this.words = words;
     }
 
-    /** A stream of news begins. */
-    void opened() {
-        opening = new TreeMap<>();
-        given.clear();
+    int proxies() {
+        return joined.size();
     }
 
+    /** Whether slices given wait for their lines. */
     boolean unsettled() {
-        return opening != null || !given.isEmpty();
-    }
-
-    boolean opening() {
-        return opening != null;
-    }
-
-    int proxies() {
-        return joined.size();
+        return !given.isEmpty();
     }
 
     /** Takes one piece of news; what can be told at once goes to out. */
     void news(String kind, Map<String, String> fields, List<Event> out) {
         switch (kind) {
-            case "attach" -> attach(words.joined(fields), out);
-            case "detach" -> detach(words.proxy(fields), out);
+            case "attach" -> {
+                Event.ProxyJoined proxy = words.joined(fields);
+                if (joined.put(proxy.proxy(), proxy) != null) {
+                    out.add(new Event.ProxyLeft(proxy.proxy()));
+                }
+                out.add(proxy);
+            }
+            case "detach" -> left(words.proxy(fields), out);
             case "done" -> out.add(words.inForce(fields));
             case "owner" -> owner(words.slice(fields), words.flag(fields, "flag"), out);
             case "entry" -> entry(words.line(fields), out);
@@ -56,21 +51,8 @@
         }
     }
 
-    private void attach(Event.ProxyJoined proxy, List<Event> out) {
-        if (opening != null) {
-            opening.put(proxy.proxy(), proxy);
-        } else {
-            if (joined.put(proxy.proxy(), proxy) != null) {
-                out.add(new Event.ProxyLeft(proxy.proxy()));
-            }
-            out.add(proxy);
-        }
-    }
-
-    private void detach(int proxy, List<Event> out) {
-        if (opening != null) {
-            opening.remove(proxy);
-        } else if (joined.remove(proxy) != null) {
+    private void left(int proxy, List<Event> out) {
+        if (joined.remove(proxy) != null) {
             out.add(new Event.ProxyLeft(proxy));
         }
     }
@@ -80,9 +62,13 @@
             given.put(slice, new TreeMap<>());
         } else {
             given.remove(slice);
-            if (opening == null && slices.remove(slice) != null) {
-                out.add(new Event.SliceCharge(slice, false));
-            }
+            taken(slice, out);
+        }
+    }
+
+    private void taken(int slice, List<Event> out) {
+        if (slices.remove(slice) != null) {
+            out.add(new Event.SliceCharge(slice, false));
         }
     }
 
@@ -90,7 +76,7 @@
         TreeMap<String, Double> lines = given.get(line.slice());
         if (lines != null) {
             put(lines, line.server(), line.weight());
-        } else if (opening == null && slices.containsKey(line.slice())) {
+        } else if (slices.containsKey(line.slice())) {
             put(slices.get(line.slice()), line.server(), line.weight());
             out.add(line);
         }
@@ -118,38 +104,80 @@
     }
 
     /**
-     * The news has settled.
+     * The lines of slices given have come.
      *
-     * @param onTheWay orders that the news may not show yet and that will stand: told, or asked again until taken
+     * @param onTheWay orders that the news may not show yet and that will stand: they are asked again until taken
      */
     void settle(List<Order> onTheWay, List<Event> out) {
-        if (opening != null) {
-            joined.keySet().forEach(proxy -> out.add(new Event.ProxyLeft(proxy)));
-            joined.clear();
-            joined.putAll(opening);
-            out.addAll(joined.values());
-            List.copyOf(slices.keySet()).stream().filter(slice -> !given.containsKey(slice)).forEach(slice -> {
-                slices.remove(slice);
-                out.add(new Event.SliceCharge(slice, false));
-            });
-        }
-        Map<Integer, TreeMap<String, Double>> believed = copy(slices);
         Map<Integer, TreeMap<String, Double>> told = copy(given);
-        onTheWay.forEach(order -> {
-            carry(order, believed);
-            carry(order, told);
-        });
-        for (Map.Entry<Integer, TreeMap<String, Double>> each : told.entrySet()) {
-            int slice = each.getKey();
-            boolean same = opening != null && same(each.getValue(), believed.get(slice));
-            slices.put(slice, given.get(slice));
-            if (!same) {
-                out.add(new Event.SliceCharge(slice, true));
-                each.getValue().forEach((server, weight) -> out.add(new Event.StoredLine(slice, server, weight)));
+        onTheWay.forEach(order -> carry(order, told));
+        told.forEach((slice, lines) -> give(slice, lines, out));
+        slices.putAll(given);
+        given.clear();
+    }
+
+    private static void give(int slice, TreeMap<String, Double> lines, List<Event> out) {
+        out.add(new Event.SliceCharge(slice, true));
+        lines.forEach((server, weight) -> out.add(new Event.StoredLine(slice, server, weight)));
+    }
+
+    /** The beginning of a stream of news: all that stands, until it has settled. */
+    final class Opening {
+        private final TreeMap<Integer, Event.ProxyJoined> proxies = new TreeMap<>();
+        private final TreeMap<Integer, TreeMap<String, Double>> tables = new TreeMap<>();
+
+        void news(String kind, Map<String, String> fields, List<Event> out) {
+            switch (kind) {
+                case "attach" -> proxies.put(words.proxy(fields), words.joined(fields));
+                case "detach" -> proxies.remove(words.proxy(fields));
+                case "done" -> out.add(words.inForce(fields));
+                case "owner" -> {
+                    tables.remove(words.slice(fields));
+                    if (words.flag(fields, "flag")) {
+                        tables.put(words.slice(fields), new TreeMap<>());
+                    }
+                }
+                case "entry" -> {
+                    Event.StoredLine line = words.line(fields);
+                    if (tables.containsKey(line.slice())) {
+                        put(tables.get(line.slice()), line.server(), line.weight());
+                    }
+                }
+                default -> throw new Refused("news: no kind is named " + kind);
             }
         }
-        given.clear();
-        opening = null;
+
+        /**
+         * The stream has settled and is the one that counts.
+         *
+         * @param onTheWay orders that were on the way when the stream was asked for, or since
+         * @param anew whether proxies may have gone and come back unseen: they are told as joined anew. A proxy
+         *     that stayed must not be: what waits for it in the channel would count as gone
+         */
+        void settle(List<Order> onTheWay, boolean anew, List<Event> out) {
+            List.copyOf(joined.keySet()).stream().filter(id -> anew || !proxies.containsKey(id))
+                    .forEach(id -> left(id, out));
+            proxies.forEach((id, proxy) -> {
+                if (joined.put(id, proxy) == null) {
+                    out.add(proxy);
+                }
+            });
+            List.copyOf(slices.keySet()).stream().filter(slice -> !tables.containsKey(slice))
+                    .forEach(slice -> taken(slice, out));
+            Map<Integer, TreeMap<String, Double>> believed = copy(slices);
+            Map<Integer, TreeMap<String, Double>> told = copy(tables);
+            onTheWay.forEach(order -> {
+                carry(order, believed);
+                carry(order, told);
+            });
+            told.forEach((slice, lines) -> {
+                if (!same(lines, believed.get(slice))) {
+                    give(slice, lines, out);
+                }
+            });
+            given.clear();
+            slices.putAll(tables);
+        }
     }
 
     private static Map<Integer, TreeMap<String, Double>> copy(Map<Integer, TreeMap<String, Double>> of) {
@@ -161,6 +189,6 @@
     /** A weight that went out and came back may have lost its last digits. */
     private static boolean same(TreeMap<String, Double> a, TreeMap<String, Double> b) {
         return b != null && a.keySet().equals(b.keySet())
-                && new ArrayList<>(a.keySet()).stream().allMatch(id -> Math.abs(a.get(id) - b.get(id)) <= 1e-6 * b.get(id));
+                && a.keySet().stream().allMatch(id -> Math.abs(a.get(id) - b.get(id)) <= 1e-6 * b.get(id));
     }
 }
--- a/src/main/java/puffinbarrow/platform/Translation.java
+++ b/src/main/java/puffinbarrow/platform/Translation.java
@@ -11,6 +11,7 @@
 import puffinbarrow.control.Order;
 import puffinbarrow.coordinator.Orca;
 import puffinbarrow.wire.Facts;
+import puffinbarrow.wire.Json;
 
 /** Between the platform's words and ours, both ways. Pure: holds only the names that numbers stand for. */
 final class Translation {
@@ -29,9 +30,6 @@
     /** Discovery's answer, with where each backend listens as seen from here. */
     record Listing(long version, Event.ServerList list, Map<String, InetSocketAddress> addresses) {}
 
-    static final Map<String, Measure> MEASURES = Map.of("util", Measure.BUSY, "inflight", Measure.HELD,
-            "queue", Measure.WAITING, "latency_ms", Measure.SERVICE_MS, "qps", Measure.DELIVERED_PER_S,
-            "eps", Measure.DROPPED_PER_S);
     private static final Map<String, Event.Listed> STATES = Map.of("SERVING", Event.Listed.READY,
             "DRAINING", Event.Listed.DRAINING, "DELETED", Event.Listed.GONE);
 
@@ -92,16 +90,16 @@
     }
 
     private static Map<Measure, Double> load(String pairs) {
-        Map<Measure, Double> report = Orca.read(pairs, MEASURES, ':');
+        Map<Measure, Double> report = Orca.read(pairs, Json.MEASURES, ':');
         if (report.size() != (pairs.isEmpty() ? 0 : pairs.split(",", -1).length)) {
             throw new Refused("util: wanted known names with figures from 0, found " + pairs);
         }
         return report;
     }
 
-    /** A backend's answer to a probe: {@code TEXT inflight=7, util=0.61}. */
+    /** A backend's answer to a probe: {@code TEXT busy_reqs=7, cpu_share=0.61}. */
     static Map<Measure, Double> probed(String body) {
-        return body.startsWith("TEXT ") ? Orca.read(body.substring(5), MEASURES, '=') : Map.of();
+        return body.startsWith("TEXT ") ? Orca.read(body.substring(5), Json.MEASURES, '=') : Map.of();
     }
 
     /** A joined proxy. */
--- a/src/test/java/puffinbarrow/platform/StandingTest.java
+++ b/src/test/java/puffinbarrow/platform/StandingTest.java
@@ -21,7 +21,18 @@
     private final List<Event> out = new ArrayList<>();
 
     private void news(String... events) {
-        EventStream stream = new EventStream(n -> standing.news(n.kind(), n.fields(), out));
+        read(new EventStream(n -> standing.news(n.kind(), n.fields(), out)), events);
+    }
+
+    /** A stream of news that begins so, and settles. */
+    private void opening(List<Order> onTheWay, boolean anew, String... events) {
+        Standing.Opening opening = standing.new Opening();
+        read(new EventStream(n -> opening.news(n.kind(), n.fields(), out)), events);
+        assertEquals(List.of(), out, "nothing is told before it is whole");
+        opening.settle(onTheWay, anew, out);
+    }
+
+    private static void read(EventStream stream, String... events) {
         for (String event : events) {
             int space = event.indexOf(' ');
             stream.feed(ByteBuffer.wrap(("event: " + event.substring(0, space) + "\ndata: " + event.substring(space + 1)
@@ -39,11 +50,8 @@
 
     @BeforeEach
     void oneProxyAndTwoSlicesStand() {
-        standing.opened();
-        news("attach id=7&site=b&rps=21.5&new=1", "owner range=1&flag=1", "owner range=2&flag=1",
+        opening(List.of(), true, "attach id=7&site=b&rps=21.5&new=1", "owner range=1&flag=1", "owner range=2&flag=1",
                 "entry range=1&target=s1&rps=1.0", "entry range=2&target=s2&rps=1.0");
-        assertEquals(List.of(), taken(), "nothing is told before it is whole");
-        standing.settle(List.of(), out);
         assertEquals(List.of(JOINED, new Event.SliceCharge(1, true), new Event.StoredLine(1, "s1", 1),
                 new Event.SliceCharge(2, true), new Event.StoredLine(2, "s2", 1)), taken());
     }
@@ -62,21 +70,22 @@
     @Test
     void afterAGapOnlyWhatDiffersIsToldAgain() {
         standing.took(new Order.SetLine(2, "s4", 0.03));
-        standing.opened();
-        news("attach id=7&site=b&rps=21.5&new=1", "owner range=2&flag=1", "entry range=2&target=s2&rps=1.0",
-                "entry range=2&target=s4&rps=0.0300000001");
-        standing.settle(List.of(), out);
-        // Marks of the gap are lost, so the proxy counts as joined anew.
-        assertEquals(List.of(new Event.ProxyLeft(7), JOINED, new Event.SliceCharge(1, false)), taken());
+        String[] stands = {"attach id=7&site=b&rps=21.5&new=1", "owner range=2&flag=1", "entry range=2&target=s2&rps=1.0",
+            "entry range=2&target=s4&rps=0.0300000001"};
+        opening(List.of(), false, stands);
+        assertEquals(List.of(new Event.SliceCharge(1, false)), taken(), "what waits for a proxy that stayed goes on counting");
+        opening(List.of(), true, stands);
+        assertEquals(List.of(new Event.ProxyLeft(7), JOINED), taken());
+        opening(List.of(), false, "owner range=2&flag=1", "entry range=2&target=s2&rps=1", "entry range=2&target=s4&rps=0.03");
+        assertEquals(List.of(new Event.ProxyLeft(7)), taken());
     }
 
     @Test
     void ordersOnTheWayWhenAGapEndsAreNotForgotten() {
-        standing.opened();
-        news("owner range=1&flag=1", "entry range=1&target=s1&rps=1.0", "owner range=2&flag=1", "entry range=2&target=s9&rps=1");
         List<Order> onTheWay = List.of(new Order.SetLine(1, "s5", 1), new Order.SetLine(1, "s1", 0),
                 new Order.SetLine(2, "s5", 1));
-        standing.settle(onTheWay, out);
+        opening(onTheWay, false, "owner range=1&flag=1", "entry range=1&target=s1&rps=1.0", "owner range=2&flag=1",
+                "entry range=2&target=s9&rps=1");
         assertEquals(List.of(new Event.ProxyLeft(7), new Event.SliceCharge(2, true), new Event.StoredLine(2, "s5", 1),
                 new Event.StoredLine(2, "s9", 1)), taken());
     }
--- a/src/test/java/puffinbarrow/resp/RespTest.java
+++ b/src/test/java/puffinbarrow/resp/RespTest.java
@@ -32,7 +32,7 @@
     void whatIsNoArrayOfStringsOrOverItsBoundsIsRefused() {
         for (String wrong : List.of("GET / HTTP/1.1\r\n", "+PING\r\n", "*1\r\n:5\r\n", "*-1\r\n", "*\r\n", "*1\r\n$-1\r\n",
                 "*99999999\r\n", "*1\r\n$2000000000\r\n", "*1\r\n$101\r\n", "*1\r\n$2\r\nabc\r\n", "*1111111111111111111111",
-                "*3\r\n$40\r\n" + "x".repeat(40) + "\r\n$40\r\n" + "x".repeat(40) + "\r\n$1\r\n", "\0\0\0")) {
+                "*3\r\n$40\r\n" + "x".repeat(40) + "\r\n$40\r\n" + "x".repeat(40) + "\r\n$9\r\n", "\0\0\0")) {
             assertThrows(RespException.class, () -> new RespReader(100, m -> { }).feed(bytes(wrong)), wrong);
         }
     }
