--- a/src/main/java/puffinbarrow/platform/Translation.java
+++ b/src/main/java/puffinbarrow/platform/Translation.java
@@ -84,9 +84,9 @@
     }
 
     private Event sliceDemand(Map<String, String> fields) {
-        long count = whole(fields, "count", 0, MOST_COUNT);
-        return new Event.SliceDemand(slice(fields), place(names.groups(), fields, "lane"), count,
-                whole(fields, "fail", 0, count), ns(real(fields, "over", 1, MOST_MS)));
+        // Flows that fail may have come in a span before, so they can be more than came in this one.
+        return new Event.SliceDemand(slice(fields), place(names.groups(), fields, "lane"),
+                whole(fields, "count", 0, MOST_COUNT), whole(fields, "fail", 0, MOST_COUNT), ns(real(fields, "over", 1, MOST_MS)));
     }
 
     private static Map<Measure, Double> load(String pairs) {
