Calls in doubt wait for proof by their mark; proxies that come together are told together

Log: one call so far, no call broken, so nothing was said twice; the first turn had been sized for the proxies known by then, and the relay sent it to all that had joined. Standing.news told each proxy as its piece of news was read. They are now held until the news is quiet for 60 ms, 0.25 s at most. A call without a readable answer, which was made again at once, now waits 0.45 s for its mark first.

--- a/src/main/java/puffinbarrow/net/HttpCaller.java
+++ b/src/main/java/puffinbarrow/net/HttpCaller.java
@@ -11,8 +11,8 @@
  * took effect, and its stream is closed. Calls come from one thread.
  */
 public final class HttpCaller {
-    /** How a call ended: the whole answer, or null and why there is none. */
-    public record Ended(HttpParser.Message answer, String failure) {}
+    /** How a call ended: the whole answer, or null and why there is none; unsent: it surely took no effect. */
+    public record Ended(HttpParser.Message answer, String failure, boolean sent) {}
 
     private final Net net;
     private final long connectMs;
@@ -28,32 +28,26 @@
         this.bodyBytes = bodyBytes;
     }
 
+    /** @param timeoutMs for the answer, from when the request is sent */
     public void call(InetSocketAddress to, byte[] request, long timeoutMs, Consumer<Ended> done) {
         Call call = new Call(done);
         Stream stream = kept;
         if (stream != null && stream.takes(to, call)) {
-            if (!stream.link.send(ByteBuffer.wrap(request))) {
-                call.end(null, "the stream ended just then");
-            }
+            stream.send(request, call, timeoutMs);
         } else {
             close();
             Stream fresh = new Stream(to, call);
             kept = fresh;
-            net.dial(to, fresh, 1 << 20, Math.min(connectMs, timeoutMs), link -> {
+            net.dial(to, fresh, 1 << 20, connectMs, link -> {
                 fresh.link = link;
-                if (call.ended.get() || fresh.abandoned) {
+                if (fresh.abandoned) {
+                    call.end(null, "given up");
                     link.close();
                 } else {
-                    link.send(ByteBuffer.wrap(request));
+                    fresh.send(request, call, timeoutMs);
                 }
             }, failure -> call.end(null, "no connection: " + failure.getMessage()));
         }
-        Stream used = kept;
-        net.schedule(timeoutMs, () -> {
-            if (call.end(null, "no answer within " + timeoutMs + " ms")) {
-                used.abandon();
-            }
-        });
     }
 
     /** Gives the stream up; a call that is out fails. */
@@ -67,6 +61,7 @@
     private static final class Call {
         final Consumer<Ended> done;
         final AtomicBoolean ended = new AtomicBoolean();
+        volatile boolean sent;
 
         Call(Consumer<Ended> done) {
             this.done = done;
@@ -75,7 +70,7 @@
         boolean end(HttpParser.Message answer, String failure) {
             boolean first = ended.compareAndSet(false, true);
             if (first) {
-                done.accept(new Ended(answer, failure));
+                done.accept(new Ended(answer, failure, sent));
             }
             return first;
         }
@@ -104,6 +99,18 @@
             return true;
         }
 
+        void send(byte[] request, Call now, long timeoutMs) {
+            now.sent = true;
+            if (!link.send(ByteBuffer.wrap(request))) {
+                now.end(null, "the stream ended just then");
+            }
+            net.schedule(timeoutMs, () -> {
+                if (now.end(null, "no answer within " + timeoutMs + " ms")) {
+                    abandon();
+                }
+            });
+        }
+
         void abandon() {
             abandoned = true;
             Link open = link;
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -16,8 +16,9 @@
 
 /**
  * The relay: calls that carry orders, one at a time and in order, and the stream of its news. A call that ends without
- * an answer that can be read is made again, as every order sets something and can be said twice. All methods run on
- * the decision thread; what the channels' threads hear is offered to it.
+ * an answer that can be read may have been taken or not. Every order sets something, so it can be said twice, but twice
+ * the lines could overfill the channel: first the news is given time to tell of its mark, which proves it taken. All
+ * methods run on the decision thread; what the channels' threads hear is offered to it.
  */
 final class RelayClient {
     /** An answer comes within 50 ms or never; three times that, as our own part of a core may be late to read it. */
@@ -29,6 +30,8 @@
     private static final long LEAST_PAUSE_MS = 10, MOST_PAUSE_MS = 200;
     /** A call carries 60,000 bytes of orders at most. */
     private static final int CALL_BYTES = 50_000;
+    /** How long a mark may take to come back, within what time limits wait for a call that broke or fell silent. */
+    private static final long PROOF_MS = 450;
     /** Calls that may wait: the decisions order four times a second and hold back what is not acknowledged. */
     private static final int CALLS = 256;
     /** A call that is turned back as unreadable so often is not made again: it would hold up all that follow. */
@@ -37,12 +40,18 @@
     private static final long SILENT_NS = 2_300_000_000L;
     /** What stands comes in one go; quiet for so long and it is whole. A sign of life says so at once. */
     private static final long SETTLE_MS = 60;
+    /** Where it is never quiet, as marks come back all the time: held no longer than an order's way to a proxy. */
+    private static final long HELD_NS = 250_000_000;
     private static final long REDIAL_MS = 100;
 
     private static final class Call {
         final List<Order> orders = new ArrayList<>();
         final List<String> texts = new ArrayList<>();
         int refusals;
+        /** It was sent, and no answer tells whether it was taken. */
+        boolean doubtful;
+        /** Between two tries. */
+        boolean pausing;
         long pauseMs = LEAST_PAUSE_MS;
     }
 
@@ -56,6 +65,8 @@
     private boolean out;
     /** The stream that carries the news, and one that begins and will take its place. */
     private NewsStream stream, next;
+    /** Since when the oldest of what is held has been. */
+    private long heldSince;
     /** Since when no stream carries the news. */
     private long deafSince;
     /** How long a full channel takes to empty: after a gap that long nothing of before it waits in it. */
@@ -116,7 +127,10 @@
         if (calls.size() == CALLS) {
             // What was left out must not be believed: all that stands is read anew and told again.
             host.tally().note("calls.overflowed", "the relay takes none; reading anew what stands");
-            calls.clear();
+            // All but the one that is out: its answer is still to come.
+            while (calls.size() > 1) {
+                calls.pollLast();
+            }
             deafSince = Long.MIN_VALUE / 2;
             if (stream != null) {
                 stream.close();
@@ -145,18 +159,14 @@
         byte[] request = new byte[head.length + body.length];
         System.arraycopy(head, 0, request, 0, head.length);
         System.arraycopy(body, 0, request, head.length, body.length);
-        caller.call(to, request, CONNECT_MS + ANSWER_MS, ended -> host.offer(() -> ended(call, ended)));
+        caller.call(to, request, ANSWER_MS, ended -> host.offer(() -> ended(call, ended)));
     }
 
     private void ended(Call call, HttpCaller.Ended ended) {
         out = false;
-        if (calls.peekFirst() != call) {
-            send();
-            return;
-        }
         if (ended.answer() == null) {
             host.tally().note("calls.broken", ended.failure());
-            again(call);
+            doubt(call, ended.sent());
             return;
         }
         String text = new String(ended.answer().body(), StandardCharsets.UTF_8);
@@ -167,16 +177,17 @@
             caller.close();
             if (text.contains("BUSY")) {
                 host.tally().count("calls.busy");
-            } else {
-                host.tally().note("calls.unreadable", unreadable.getMessage());
-                if (text.contains("SYNTAX") && ++call.refusals >= REFUSALS) {
-                    host.tally().note("calls.given_up", Translation.brief(call.texts.toString()));
-                    calls.pollFirst();
-                    send();
-                    return;
-                }
+                again(call, call.pauseMs);
+                return;
+            }
+            host.tally().note("calls.unreadable", unreadable.getMessage());
+            if (text.contains("SYNTAX") && ++call.refusals >= REFUSALS) {
+                host.tally().note("calls.given_up", Translation.brief(call.texts.toString()));
+                calls.pollFirst();
+                send();
+                return;
             }
-            again(call);
+            doubt(call, !text.contains("SYNTAX"));
             return;
         }
         taken(call, taken);
@@ -198,16 +209,34 @@
         send();
     }
 
-    private void again(Call call) {
-        long pause = call.pauseMs;
-        call.pauseMs = Math.min(MOST_PAUSE_MS, pause * 2);
-        out = true;
-        net.schedule(pause, () -> host.offer(() -> {
-            out = false;
-            send();
+    private void doubt(Call call, boolean sent) {
+        call.doubtful |= sent;
+        again(call, sent ? PROOF_MS : call.pauseMs);
+    }
+
+    private void again(Call call, long pauseMs) {
+        call.pauseMs = Math.min(MOST_PAUSE_MS, call.pauseMs * 2);
+        call.pausing = out = true;
+        net.schedule(pauseMs, () -> host.offer(() -> {
+            // Else proof came in the pause, and another call may be out by now.
+            if (call.pausing) {
+                call.pausing = out = false;
+                send();
+            }
         }));
     }
 
+    /** A proxy answered to a mark: if a call in doubt carried it, that call was taken and isn't made again. */
+    private void proved(Event event) {
+        Call call = calls.peekFirst();
+        if (event instanceof Event.InForce done && call != null && call.doubtful && call.pausing
+                && call.orders.get(call.orders.size() - 1) instanceof Order.Mark mark && mark.number() == done.mark()) {
+            host.tally().count("calls.proved");
+            call.pausing = out = false;
+            taken(call, call.orders.size());
+        }
+    }
+
     // ---- News.
 
     /** Asks for news; the stream that carries it now goes on until the new one has settled. */
@@ -249,6 +278,9 @@
                 settle(which, events);
                 continue;
             }
+            if (which.opening == null && !standing.unsettled()) {
+                heldSince = at;
+            }
             try {
                 if (which.opening != null) {
                     which.opening.news(each.kind(), each.fields(), events);
@@ -259,15 +291,22 @@
                 host.tally().note("news.refused", wrong.getMessage());
             }
         }
+        events.forEach(this::proved);
         events.forEach(host::happened);
         if (which.opening != null || standing.unsettled()) {
-            net.schedule(SETTLE_MS, () -> host.offer(() -> {
-                if (which.heardAt == at && (which == stream || which == next)) {
-                    List<Event> settled = new ArrayList<>();
-                    settle(which, settled);
-                    settled.forEach(host::happened);
-                }
-            }));
+            net.schedule(SETTLE_MS, () -> host.offer(() -> quiet(which, at)));
+        }
+    }
+
+    private void quiet(NewsStream which, long since) {
+        if (which == stream || which == next) {
+            List<Event> events = new ArrayList<>();
+            boolean longHeld = which.opening == null && System.nanoTime() - heldSince > HELD_NS;
+            if (which.heardAt == since || longHeld) {
+                settle(which, events);
+                standing.arrived(events);
+            }
+            events.forEach(host::happened);
         }
     }
 
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -1,6 +1,7 @@
 package puffinbarrow.platform;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -52,8 +53,12 @@
 
     /** Reads the configuration and opens its sockets; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
+        this(file, factory, new Tally(System.out));
+    }
+
+    Service(Path file, Controller.Factory factory, Tally tally) throws IOException {
         this.file = file;
-        this.tally = new Tally(System.out);
+        this.tally = tally;
         Translation.Clock clock = Translation.Clock.now();
         Configuration config = Configuration.read(Files.readAllBytes(file), clock);
         Translation words = new Translation(config.names(), clock);
@@ -184,6 +189,10 @@
         });
     }
 
+    InetSocketAddress address() {
+        return listener.address();
+    }
+
     @Override
     public void offer(Runnable work) {
         inbox.offer(work);
--- a/src/main/java/puffinbarrow/platform/Tally.java
+++ b/src/main/java/puffinbarrow/platform/Tally.java
@@ -20,7 +20,8 @@
     private final long startedNs = System.nanoTime();
     private final Map<String, AtomicLong> counters = new ConcurrentHashMap<>();
     private final AtomicInteger linesNow = new AtomicInteger();
-    private volatile String told = "";
+    private String told = "";
+    private long seconds;
 
     Tally(PrintStream out) {
         this.out = out;
@@ -52,9 +53,12 @@
         out.println("t=" + (System.nanoTime() - startedNs) / 1_000_000 + " " + line.replace('\n', ' '));
     }
 
-    /** Once a second: lines are to be had again, and changed counters are told. */
+    /** Once a second: lines are to be had again, and now and then changed counters are told. */
     void second() {
         linesNow.set(0);
+        if (++seconds % 5 != 0) {
+            return;
+        }
         String now = new TreeMap<>(counters).toString();
         if (!now.equals(told)) {
             told = now;
