Every turn's mark asks all proxies, so a turn that reaches nobody holds up none

Log of the coordinator that had restarted: it heard the word in time, decided, but no call followed for 15 s (calls.taken stands, marks answered 285 of 450, news and watch alive). So neither transport nor hearing: Logic.push waited for answers to a turn whose slices had been taken away while it was out; it reached no proxy, and a mark asks only proxies reached (Logic.send, Mark with everyProxy false). The turn is counted for every joined proxy, so the mark now asks all. Answers that fall into a gap of the news would stop it in the same way: the last mark is repeated after a gap. Test: 40 lines for slices taken away, then six of ten servers leave; without the change they stay in tables.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -1070,7 +1070,10 @@
         due.stream().filter(v -> out.size() < before + rest).forEach(v -> sendSlice(v, true));
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
-            out.add(new Order.Mark(mark, false));
+            // Guards against a turn that nobody answers, which would hold up all that follow: its slices were
+            // taken away meanwhile, or no table has its masks. A turn counts for every proxy, so all are asked;
+            // it harms by a head for each proxy where a turn would have reached none.
+            out.add(new Order.Mark(mark, true));
             double each = set.head() + out.size() - before + levelLines;
             turns.addLast(new Turn(mark, now, each, new TreeSet<>(joined)));
             turnTimes.addLast(now);
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
@@ -65,6 +66,9 @@
     private boolean out;
     /** The stream that carries the news, and one that begins and will take its place. */
     private NewsStream stream, next;
+    /** The mark that the relay took last, and who has answered to it. */
+    private int lastMark = -1;
+    private final BitSet answered = new BitSet();
     /** Since when the oldest of what is held has been. */
     private long heldSince;
     /** Since when no stream carries the news. */
@@ -195,7 +199,15 @@
 
     private void taken(Call call, int taken) {
         host.tally().count("calls.taken");
+        host.tally().say("call orders=" + taken + " proxies=" + standing.proxies() + " "
+                + Translation.brief(String.join(";", call.texts)));
         call.orders.subList(0, taken).forEach(standing::took);
+        call.orders.subList(0, taken).forEach(order -> {
+            if (order instanceof Order.Mark mark && mark.number() != lastMark) {
+                lastMark = mark.number();
+                answered.clear();
+            }
+        });
         if (taken == call.orders.size()) {
             calls.pollFirst();
         } else {
@@ -228,6 +240,9 @@
 
     /** A proxy answered to a mark: if a call in doubt carried it, that call was taken and isn't made again. */
     private void proved(Event event) {
+        if (event instanceof Event.InForce done && done.mark() == lastMark) {
+            answered.set(done.proxy());
+        }
         Call call = calls.peekFirst();
         if (event instanceof Event.InForce done && call != null && call.doubtful && call.pausing
                 && call.orders.get(call.orders.size() - 1) instanceof Order.Mark mark && mark.number() == done.mark()) {
@@ -316,12 +331,18 @@
             which.opening.settle(which.sinceAsked, anew, events);
             which.opening = null;
             which.sinceAsked.clear();
-            if (stream != null) {
+            boolean gap = stream == null;
+            if (!gap) {
                 stream.close();
             }
             stream = which;
             next = null;
             host.tally().count("news.streams");
+            // Answers to marks that came in the gap are lost; unasked, the decisions would wait for them for ever.
+            if (gap && lastMark >= 0 && calls.isEmpty() && answered.cardinality() < standing.proxies()) {
+                host.tally().count("marks.repeated");
+                order(List.of(new Order.Mark(lastMark, true)));
+            }
         } else if (standing.unsettled()) {
             List<Order> onTheWay = new ArrayList<>();
             calls.forEach(call -> onTheWay.addAll(call.orders));
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -103,7 +103,8 @@
                 watchAt = now + WATCH_NS;
             }
             if (now >= secondAt) {
-                tally.second();
+                tally.second("proxies=" + relay.standing().proxies() + " slices=" + relay.standing().slices()
+                        + " calls=" + relay.waiting());
                 secondAt = now + 1_000_000_000L;
             }
             while (!timers.isEmpty() && timers.peek().atNs() <= now) {
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -32,6 +32,10 @@
         return joined.size();
     }
 
+    int slices() {
+        return slices.size();
+    }
+
     /** Whether something is held. */
     boolean unsettled() {
         return !given.isEmpty() || !arriving.isEmpty();
--- a/src/main/java/puffinbarrow/platform/Tally.java
+++ b/src/main/java/puffinbarrow/platform/Tally.java
@@ -54,12 +54,12 @@
     }
 
     /** Once a second: lines are to be had again, and now and then changed counters are told. */
-    void second() {
+    void second(String gauges) {
         linesNow.set(0);
         if (++seconds % 5 != 0) {
             return;
         }
-        String now = new TreeMap<>(counters).toString();
+        String now = gauges + " " + new TreeMap<>(counters);
         if (!now.equals(told)) {
             told = now;
             say("counters " + now);
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -26,6 +26,8 @@
     final List<Order> seen = new ArrayList<>();
     final List<List<Order>> turns = new ArrayList<>();
     private final List<Event> pending = new ArrayList<>();
+    /** Slices that the store took away, which the decisions have not heard yet: orders for them reach nobody. */
+    final TreeSet<Integer> takenAway = new TreeSet<>();
     private boolean acknowledge = true;
 
     FakeHost(Settings settings) {
@@ -109,6 +111,9 @@
         for (Order order : orders) {
             if (order instanceof Order.SetLine o) {
                 turn.add(o);
+                if (takenAway.contains(o.table())) {
+                    continue;
+                }
                 if (o.weight() > 0) {
                     tables.computeIfAbsent(o.table(), t -> new TreeMap<>()).put(o.server(), o.weight());
                 } else {
@@ -119,7 +124,9 @@
                 boolean changed = o.out() ? masks.add(o.server()) : masks.remove(o.server());
             } else if (order instanceof Order.Mark o) {
                 turns.add(turn);
-                for (int proxy = 0; acknowledge && proxy < 2; proxy++) {
+                boolean reached = o.everyProxy() || turn.stream()
+                        .anyMatch(v -> !(v instanceof Order.SetLine line && takenAway.contains(line.table())));
+                for (int proxy = 0; acknowledge && reached && proxy < 2; proxy++) {
                     tell(new Event.InForce(proxy, o.number(), SECOND / 5));
                 }
             }
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -12,6 +12,7 @@
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Event.Listed;
 import puffinbarrow.control.Order;
+import puffinbarrow.control.Settings;
 
 /** Stories of a coordinator: what it hears, and what its proxies then hold. */
 class LogicTest {
@@ -342,6 +343,32 @@
         assertTrue(host.all(Order.SetLine.class).stream().noneMatch(o -> o.table() == 3));
     }
 
+    @Test
+    void aTurnWhoseSlicesWereTakenAwayMeanwhileHoldsUpNoneThatFollows() {
+        // A channel so narrow that an urgent turn fills most of it.
+        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 60, false, 150, 4000, 10, 0,
+                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false));
+        host.begin(10, 10);
+        host.run(5);
+        int before = host.turns.size();
+        for (int slice = 10; slice < 60; slice++) {
+            host.takenAway.add(slice);
+            host.tell(new Event.SliceCharge(slice, true));
+        }
+        host.run(0.25);
+        assertEquals(before + 1, host.turns.size(), "lines for slices that are ours no more");
+        host.takenAway.forEach(slice -> host.tell(new Event.SliceCharge(slice, false)));
+        host.run(3);
+        List<String> leaving = List.of("s0", "s2", "s4", "s5", "s7", "s9");
+        leaving.forEach(server -> host.list(server, Listed.DRAINING, 0));
+        host.run(4);
+        for (int slice = 0; slice < 10; slice++) {
+            assertTrue(host.tables.get(slice).keySet().stream().noneMatch(leaving::contains));
+            assertEquals(2, host.open(slice).size());
+        }
+        assertTrue(host.masks.containsAll(leaving));
+    }
+
     @Test
     void theQueueStaysUnderItsLimitThoughNobodyAnswers() {
         FakeHost host = FakeHost.of(6, 600);
--- a/src/test/java/puffinbarrow/platform/ServiceTest.java
+++ b/src/test/java/puffinbarrow/platform/ServiceTest.java
@@ -206,6 +206,19 @@
         assertTrue(relay.asked().get(1).endsWith("=restore,s1"), relay.asked().get(1));
     }
 
+    @Test
+    void aMarkWhoseAnswersFellIntoAGapOfTheNewsIsRepeated() throws Exception {
+        relay.snapshot = "event: attach\ndata: id=8&site=b&rps=2&new=0\n\n";
+        relay.answers.clear();
+        relay.answers.add(taken(2));
+        start(List.of(new Order.Mask("s1", true), new Order.Mark(41, true)));
+        hears(new Event.ProxyJoined(8, false, 2, 1));
+        await(() -> tally.value("calls.taken") == 1);
+        relay.news.get(0).close();
+        await(() -> relay.asked().size() > 1);
+        assertTrue(relay.asked().get(1).endsWith("changes=mark,41,1"), relay.asked().get(1));
+    }
+
     @Test
     void whatStandsIsToldWholeAndAReloadMovesWithoutAGap() throws Exception {
         relay.snapshot = "event: attach\ndata: id=8&site=b&rps=2&new=0\n\nevent: owner\ndata: range=1&flag=1\n\n"
