A turn is sized for all proxies there are, so a crowd that joins overfills no channel

Log: the first call held 44 orders; 56 lines for each of 240 proxies are 13440, so the turn reached all 240 while Logic.push had divided by the 95 known. No call broke, none was repeated. Turns now count with the settings' proxies where each joins every coordinator. Holding arrivals back in the platform package is out again.

--- a/src/bench/java/puffinbarrow/bench/TurnBench.java
+++ b/src/bench/java/puffinbarrow/bench/TurnBench.java
@@ -40,7 +40,7 @@
         int slices = servers * 4;
         Settings settings = new Settings(false, false, true, List.of(new Settings.Group(1, SECOND),
                 new Settings.Group(3, SECOND / 2)), slices, false, 40_000, 20_000, 12, 0, 10 * SECOND, SECOND,
-                3 * SECOND, 17 * SECOND, 0.2, 4, false, false);
+                3 * SECOND, 17 * SECOND, 0.2, 4, false, false, 0);
         logic = new Logic(settings, 7);
         now = 100 * SECOND;
         List<Event> events = new ArrayList<>();
--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -997,6 +997,10 @@
         if (joined.isEmpty() || masks.isEmpty() && due.isEmpty() && lifted.isEmpty() && !levelsDue) {
             return;
         }
+        // Guards the queue where proxies come by the hundred: a turn reaches all that have joined by then, known
+        // here or not, so it is sized for as many as there are. It harms where some can't reach us for long:
+        // turns are smaller than they need be.
+        int reach = Math.max(joined.size(), set.proxies());
         // Unacknowledged lines count as queued but for a credit of most of the usual pace, as an answer takes
         // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.9).
         // The ordinary fills no more than goes out in a quarter of the grace: a drain queues behind it.
@@ -1008,8 +1012,8 @@
         double known = (binding ? 0.2 : 0.37) * set.queueLimit();
         double credit = Math.min(known, 0.8 * set.linesPerS() * age / SECOND);
         double heads = set.head() + 1 + levelLines;
-        double most = set.queueLimit() * part / joined.size() - heads;
-        double lines = most - Math.max(0, waiting - credit) / joined.size();
+        double most = set.queueLimit() * part / reach - heads;
+        double lines = most - Math.max(0, waiting - credit) / reach;
         // A turn costs its heads: it waits until most of what it needs has room, but never for ever.
         long bare = due.stream().filter(v -> urgency(v) == 0).count();
         double worth = binding ? Math.min(masks.size() + bare, 0.4 * most)
@@ -1018,7 +1022,7 @@
             dirty |= binding;
             return;
         }
-        send(due, masks, lifted, lines, lines - (part - ordinary) * set.queueLimit() / joined.size());
+        send(due, masks, lifted, lines, lines - (part - ordinary) * set.queueLimit() / reach);
     }
 
     private boolean mayTurn(boolean binding) {
--- a/src/main/java/puffinbarrow/config/CoordinatorConfig.java
+++ b/src/main/java/puffinbarrow/config/CoordinatorConfig.java
@@ -349,7 +349,7 @@
         return new Settings(listOnRequest, levels.equals("rate"), !levels.equals("off"),
                 groups.stream().map(g -> new Settings.Group(g.utility(), g.budgetNs())).toList(), slices, soleOwner,
                 queueLines, linesPerS, headLines, messages, messagesSpanNs, roundNs, graceNs, warmNs, coldShare,
-                fallMultiple, probes, goneStays);
+                fallMultiple, probes, goneStays, 0);
     }
 
     public static Map<String, String> keywords() {
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -319,7 +319,6 @@
             boolean longHeld = which.opening == null && System.nanoTime() - heldSince > HELD_NS;
             if (which.heardAt == since || longHeld) {
                 settle(which, events);
-                standing.arrived(events);
             }
             events.forEach(host::happened);
         }
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -10,17 +10,13 @@
  * What stands at the relay as its news has told it: joined proxies, slices in our charge with their lines. Pure; one
  * thread. Each stream of news begins with all that stands and no mark tells where that ends, and a slice's giving comes
  * before its lines; so both are held until the owner says that the news has settled, and are then put to the decisions
- * as one: a slice without its lines would look like an orphan. Proxies that come are held as well, since they come by the
- * hundred when a coordinator begins: whoever knows of ten fills the channel for ten, and the relay sends it to all. A
- * stream that follows another is an {@link Opening} of
+ * as one: a slice without its lines would look like an orphan. A stream that follows another is an {@link Opening} of
  * its own meanwhile, and when it has settled only what differs is told.
  */
 final class Standing {
     private final Translation words;
     private final TreeMap<Integer, Event.ProxyJoined> joined = new TreeMap<>();
     private final TreeMap<Integer, TreeMap<String, Double>> slices = new TreeMap<>();
-    /** Proxies that came lately, others of whom may still be coming. */
-    private final TreeMap<Integer, Event.ProxyJoined> arriving = new TreeMap<>();
     /** Slices given whose lines may still be coming. */
     private final TreeMap<Integer, TreeMap<String, Double>> given = new TreeMap<>();
 
@@ -36,9 +32,9 @@
         return slices.size();
     }
 
-    /** Whether something is held. */
+    /** Whether slices given wait for their lines. */
     boolean unsettled() {
-        return !given.isEmpty() || !arriving.isEmpty();
+        return !given.isEmpty();
     }
 
     /** Takes one piece of news; what can be told at once goes to out. */
@@ -47,7 +43,8 @@
             case "attach" -> {
                 Event.ProxyJoined proxy = words.joined(fields);
                 left(proxy.proxy(), out);
-                arriving.put(proxy.proxy(), proxy);
+                joined.put(proxy.proxy(), proxy);
+                out.add(proxy);
             }
             case "detach" -> left(words.proxy(fields), out);
             case "done" -> out.add(words.inForce(fields));
@@ -58,7 +55,6 @@
     }
 
     private void left(int proxy, List<Event> out) {
-        arriving.remove(proxy);
         if (joined.remove(proxy) != null) {
             out.add(new Event.ProxyLeft(proxy));
         }
@@ -110,13 +106,6 @@
         }
     }
 
-    /** Those that came are all there. */
-    void arrived(List<Event> out) {
-        out.addAll(arriving.values());
-        joined.putAll(arriving);
-        arriving.clear();
-    }
-
     /**
      * The lines of slices given have come.
      *
@@ -190,7 +179,6 @@
                 }
             });
             given.clear();
-            arriving.clear();
             slices.putAll(tables);
         }
     }
--- a/src/main/java/puffinbarrow/wire/Facts.java
+++ b/src/main/java/puffinbarrow/wire/Facts.java
@@ -42,7 +42,8 @@
                 (int) whole(domain, "PushesAllowed"), whole(domain, "CountedOverNs"), whole(domain, "ReportEveryNs"),
                 whole(rules, "StopSendingWithinNs"), whole(rules, "WarmWithinNs"),
                 real(rules, "StartCapacity"), real(rules, "FallMultiple"),
-                flag(map(all.get("Ceilings"), "Ceilings"), "Probes"), flag(rules, "DroppedStayOpen"));
+                flag(map(all.get("Ceilings"), "Ceilings"), "Probes"), flag(rules, "DroppedStayOpen"),
+                whole(domain, "Ranges") > 0 ? (int) whole(domain, "ProxyCount") : 0);
     }
 
     private static Settings.Group group(Map<?, ?> each) {
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -40,7 +40,7 @@
 
     static Settings settings(int slices, boolean listOnRequest, int messages, boolean droppedStay) {
         return new Settings(listOnRequest, false, true, GROUPS, slices, false, 8000, 4000, 10, messages, 10 * SECOND,
-                SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, droppedStay, droppedStay);
+                SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, droppedStay, droppedStay, 0);
     }
 
     /** Servers s0.. listed, slices spread over them in turn, two proxies. */
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -347,7 +347,7 @@
     void aTurnWhoseSlicesWereTakenAwayMeanwhileHoldsUpNoneThatFollows() {
         // A channel so narrow that an urgent turn fills most of it.
         FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 60, false, 150, 4000, 10, 0,
-                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false));
+                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 0));
         host.begin(10, 10);
         host.run(5);
         int before = host.turns.size();
@@ -369,6 +369,26 @@
         assertTrue(host.masks.containsAll(leaving));
     }
 
+    @Test
+    void whileProxiesArriveATurnIsSizedForAllThatThereAre() {
+        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 200, false, 4000, 4000, 10, 0,
+                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 100));
+        List<Event.Entry> entries = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            entries.add(FakeHost.entry("s" + i, Listed.READY, 0));
+        }
+        host.tell(new Event.ServerList(Event.ListKind.STALE_COPY, entries));
+        for (int i = 0; i < 200; i++) {
+            host.give(i, "s" + i % 20);
+        }
+        for (int proxy = 0; proxy < 8; proxy++) {
+            host.tell(new Event.ProxyJoined(proxy, false, 1, 0));
+            host.run(0.25);
+        }
+        assertTrue(host.turns.size() > 1);
+        host.turns.forEach(turn -> assertTrue((turn.size() + 12) * 100 <= 4000, turn.size() + " orders"));
+    }
+
     @Test
     void theQueueStaysUnderItsLimitThoughNobodyAnswers() {
         FakeHost host = FakeHost.of(6, 600);
--- a/src/test/java/puffinbarrow/platform/StandingTest.java
+++ b/src/test/java/puffinbarrow/platform/StandingTest.java
@@ -67,18 +67,6 @@
                 new Event.ProxyLeft(7)), taken());
     }
 
-    @Test
-    void proxiesThatComeTogetherAreToldTogether() {
-        news("attach id=3&site=a&rps=1&new=0", "attach id=4&site=a&rps=1&new=0", "attach id=5&site=a&rps=1&new=0", "detach id=4",
-                "attach id=7&site=b&rps=1&new=0");
-        assertEquals(List.of(new Event.ProxyLeft(7)), taken());
-        standing.settle(List.of(), out);
-        assertEquals(List.of(), taken(), "the lines of slices have nothing to do with it");
-        standing.arrived(out);
-        assertEquals(List.of(new Event.ProxyJoined(3, false, 1, 0), new Event.ProxyJoined(5, false, 1, 0),
-                new Event.ProxyJoined(7, false, 1, 1)), taken());
-    }
-
     @Test
     void afterAGapOnlyWhatDiffersIsToldAgain() {
         standing.took(new Order.SetLine(2, "s4", 0.03));
