Masks keep within the turn's size, new ones first, so a giving overfills no channel

It was the turn after slices were given: Logic.send put lines for bare slices up to the turn's size and then all masks, said again because of the giving, whatever their number (the loop over masks had no bound). They now keep up to half of the room and no more than there is; the rest goes in the next turn.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -987,7 +987,8 @@
         List<Slice> due = late.stream().sorted(Comparator.<Slice>comparingInt(v -> v.urgency)
                 .thenComparing(v -> v.settledAt).thenComparing(v -> v.number)).toList();
         List<Server> masks = servers.values().stream().filter(v -> v.masked()
-                && (masksDue.contains(v.id) || !maskSent.contains(v.id)) && !noLineOn(v.id)).toList();
+                && (masksDue.contains(v.id) || !maskSent.contains(v.id)) && !noLineOn(v.id))
+                .sorted(Comparator.comparing(v -> maskSent.contains(v.id))).toList();
         TreeSet<String> lifted = new TreeSet<>(maskSent);
         lifted.addAll(masksDue);
         lifted.removeIf(id -> servers.get(id).masked());
@@ -1048,7 +1049,10 @@
         }
         // Guards the grace where much of the fleet goes at once: a line for each slice that would be bare,
         // then the masks that leave none bare, and only then all else, old lines of masked servers too.
-        due.stream().filter(v -> urgency(v) == 0 && out.size() < full).forEach(this::sendTop);
+        // The masks keep up to half of the room, and what has none waits for the next turn: after a restart or a
+        // giving all masks are said again, and beyond the turn's size they would overfill the channel.
+        double tops = full - Math.min(masks.size(), (full - before) / 2);
+        due.stream().filter(v -> urgency(v) == 0 && out.size() < tops).forEach(this::sendTop);
         // A mask that stands though its server serves again could hold up the mask of one that left.
         for (String id : lifted) {
             if (out.size() < (maskSent.contains(id) ? full : before + rest)) {
@@ -1062,6 +1066,9 @@
         // turn, the queue and the way. A bare slice's flows would find nobody at a server that left; its line
         // goes first in the next turn. It harms where a draining server would have served them still.
         for (Server server : masks) {
+            if (out.size() >= full) {
+                break;
+            }
             if (server.leaving() && now - server.bindsSince > set.graceNs() / 6 || !leavesBare(server.id)) {
                 out.add(new Order.Mask(server.id, true));
                 maskSent.add(server.id);
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -389,6 +389,27 @@
         host.turns.forEach(turn -> assertTrue((turn.size() + 12) * 100 <= 4000, turn.size() + " orders"));
     }
 
+    @Test
+    void masksSaidAgainWithLinesForBareSlicesOverfillNoTurn() {
+        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 200, false, 1000, 4000, 10, 0,
+                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 10));
+        host.begin(60, 120);
+        host.run(20);
+        for (int i = 0; i < 40; i++) {
+            host.list("s" + i, Listed.DRAINING, 0);
+        }
+        for (int slice = 120; slice < 200; slice++) {
+            host.tell(new Event.SliceCharge(slice, true));
+        }
+        int before = host.turns.size();
+        host.run(2);
+        host.turns.subList(before, host.turns.size())
+                .forEach(turn -> assertTrue((turn.size() + 12) * 10 <= 900, turn.size() + " orders"));
+        for (int i = 0; i < 40; i++) {
+            assertTrue(host.masks.contains("s" + i));
+        }
+    }
+
     @Test
     void theQueueStaysUnderItsLimitThoughNobodyAnswers() {
         FakeHost host = FakeHost.of(6, 600);
