--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -998,9 +998,9 @@
         if (joined.isEmpty() || masks.isEmpty() && due.isEmpty() && lifted.isEmpty() && !levelsDue) {
             return;
         }
-        // Guards the queue where proxies come by the hundred: a turn reaches all that have joined by then, known
-        // here or not, so it is sized for as many as there are. It harms where some can't reach us for long:
-        // turns are smaller than they need be.
+        // Guards the queue where proxies come by the hundred: a turn reaches all that have joined by then,
+        // known here or not, so it is sized for as many as there are. It harms where some can't reach us for
+        // long: turns are smaller than they need be.
         int reach = Math.max(joined.size(), set.proxies());
         // Unacknowledged lines count as queued but for a credit of most of the usual pace, as an answer takes
         // its time; the credit is bound, so that a channel just become slow stays under its limit too (0.9).
@@ -1049,8 +1049,9 @@
         }
         // Guards the grace where much of the fleet goes at once: a line for each slice that would be bare,
         // then the masks that leave none bare, and only then all else, old lines of masked servers too.
-        // The masks keep up to half of the room, and what has none waits for the next turn: after a restart or a
-        // giving all masks are said again, and beyond the turn's size they would overfill the channel.
+        // The masks keep up to half of the room, and what has none waits for the next turn: after a restart
+        // or a giving all masks are said again, and beyond the turn's size they would overfill the channel.
+        // It harms where more servers leave at once than a turn holds: the last masks come a turn later.
         double tops = full - Math.min(masks.size(), (full - before) / 2);
         due.stream().filter(v -> urgency(v) == 0 && out.size() < tops).forEach(this::sendTop);
         // A mask that stands though its server serves again could hold up the mask of one that left.
@@ -1081,9 +1082,9 @@
         due.stream().filter(v -> out.size() < before + rest).forEach(v -> sendSlice(v, true));
         if (out.size() > before) {
             mark = (mark + 1) % 65536;
-            // Guards against a turn that nobody answers, which would hold up all that follow: its slices were
-            // taken away meanwhile, or no table has its masks. A turn counts for every proxy, so all are asked;
-            // it harms by a head for each proxy where a turn would have reached none.
+            // Guards against a turn that nobody answers, which would hold up all that follow: its slices
+            // were taken away meanwhile, or no table has its masks. A turn counts for every proxy, so all are
+            // asked; it harms by a head for each proxy where a turn would have reached none.
             out.add(new Order.Mark(mark, true));
             double each = set.head() + out.size() - before + levelLines;
             turns.addLast(new Turn(mark, now, each, new TreeSet<>(joined)));
