--- a/src/test/java/puffinbarrow/platform/ServiceTest.java
+++ b/src/test/java/puffinbarrow/platform/ServiceTest.java
@@ -120,6 +120,7 @@
     private final BlockingQueue<Event> heard = new LinkedBlockingQueue<>();
     private final ConcurrentLinkedQueue<List<Order>> toOrder = new ConcurrentLinkedQueue<>();
     private Service service;
+    private volatile boolean failing;
 
     @BeforeEach
     void open() throws IOException {
@@ -149,6 +150,9 @@
         configure(relay);
         toOrder.add(first);
         service = new Service(folder.resolve("config.json"), (settings, seed) -> (now, events) -> {
+            if (failing) {
+                throw new IllegalStateException("played");
+            }
             heard.addAll(events);
             List<Order> next = toOrder.poll();
             return next == null ? List.of() : next;
@@ -259,6 +263,30 @@
         assertTrue(discovery.asked().get(2).contains("from=9&hold_ms=0"), discovery.asked().get(2));
     }
 
+    @Test
+    void aSpoiltConfigurationKeepsTheOldOneInUse() throws Exception {
+        start(List.of());
+        Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":");
+        service.reload();
+        await(() -> tally.value("reloads.refused") == 1);
+        toOrder.add(List.of(new Order.Mask("s1", true)));
+        connect(message("telemetry", "site", "a")).getOutputStream()
+                .write(message("range_stats", "range", "1", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
+        await(() -> relay.asked().size() == 1);
+    }
+
+    @Test
+    void decisionsThatFailLeaveWhatStandsAndTheNextBatchIsDecided() throws Exception {
+        start(List.of());
+        failing = true;
+        OutputStream out = connect(message("telemetry", "site", "a")).getOutputStream();
+        out.write(message("range_stats", "range", "1", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
+        await(() -> tally.value("decisions.failed") >= 1);
+        failing = false;
+        out.write(message("range_stats", "range", "2", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
+        hears(new Event.SliceDemand(2, 0, 1, 0, 1_000_000_000));
+    }
+
     private Socket connect(byte[] says) throws IOException {
         Socket socket = new Socket(service.address().getAddress(), service.address().getPort());
         socket.setSoTimeout(20_000);
