One piece each for failure counts, addresses, load reports; state nobody reads is out

Need: the service had written again what stood elsewhere. Failures (five in a minute, then give up) now serves Coordinator and Service; before, a failure in Service could also set running again after a close. Net.address is the inverse of Net.text for Prober, Ports, PlainProxy and Configuration. Orca reads the TEXT form for both sets of names. Inbox takes how to resume a stream, so Collectors' streams need be no Outlet. Standing keeps who joined, not what they said; discovery's two failures are told in one place; a request is one string; the narrow channel of three stories is made in FakeHost.

No behaviour is meant to change but that a port without a colon is refused in the configuration too. Module and adapter untouched.

--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -38,10 +37,6 @@
  */
 public final class Coordinator implements AutoCloseable, Core.Surroundings {
     private static final Logger LOG = LoggerFactory.getLogger("puffinbarrow.coordinator");
-    /** Failures of the decisions within {@link #FAILURE_SPAN_NS} after which the daemon gives up: a state that throws
-     * five times in a minute will not mend itself, and a restart begins with what stands. */
-    private static final int FAILURES = 5;
-    private static final long FAILURE_SPAN_NS = 60_000_000_000L;
     /** Batches kept for replay; the first ones tell the cause, the rest repeat it. */
     private static final int BATCHES_KEPT = 20;
     /** Facts that may wait for the disk: ten thousand servers with their slices, some tens of megabytes. */
@@ -65,7 +60,7 @@
     private final Set<Stream> streams = ConcurrentHashMap.newKeySet();
     private final List<Dialer> dialers = new ArrayList<>();
     private final TreeMap<Integer, Dialer> peerDialers = new TreeMap<>();
-    private final ArrayDeque<Long> failures = new ArrayDeque<>();
+    private final Failures failures = new Failures();
     private final AtomicLong batches = new AtomicLong();
     private final CountDownLatch ended = new CountDownLatch(1);
     private Dialer storeDialer;
@@ -237,12 +232,8 @@
         }
         LOG.atError().addKeyValue("batch", saved).addKeyValue("events", batch.size()).setCause(failure)
                 .log("the decisions failed; what stands is left");
-        failures.addLast(now);
-        while (!failures.isEmpty() && now - failures.peekFirst() > FAILURE_SPAN_NS) {
-            failures.pollFirst();
-        }
-        if (failures.size() >= FAILURES) {
-            LOG.atError().addKeyValue("failures", failures.size()).log("giving up");
+        if (failures.tooMany(now)) {
+            LOG.atError().addKeyValue("failures", Failures.MOST).log("giving up");
             running = false;
             onGivingUp.accept(1);
         }
--- a/src/main/java/puffinbarrow/coordinator/Core.java
+++ b/src/main/java/puffinbarrow/coordinator/Core.java
@@ -170,7 +170,7 @@
     }
 
     public void stopped(Outlet outlet) {
-        inbox.stopped(outlet);
+        inbox.stopped(outlet::resume);
     }
 
     void reader(Thread thread) {
--- a/src/main/java/puffinbarrow/coordinator/Inbox.java
+++ b/src/main/java/puffinbarrow/coordinator/Inbox.java
@@ -14,7 +14,7 @@
  */
 public final class Inbox<T> {
     private final ConcurrentLinkedQueue<T> queue = new ConcurrentLinkedQueue<>();
-    private final ConcurrentLinkedQueue<Outlet> stopped = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Runnable> stopped = new ConcurrentLinkedQueue<>();
     private final AtomicInteger size = new AtomicInteger();
     private final AtomicLong offered = new AtomicLong();
     private volatile int limit;
@@ -42,10 +42,10 @@
         return now < limit;
     }
 
-    /** Notes a stream that stopped; it is resumed after the next drain. */
-    public void stopped(Outlet outlet) {
+    /** Notes how a stream that stopped is resumed; it is after the next drain. */
+    public void stopped(Runnable resume) {
         overflows++;
-        stopped.add(outlet);
+        stopped.add(resume);
         LockSupport.unpark(reader);
     }
 
@@ -73,8 +73,8 @@
             all.add(next);
             size.decrementAndGet();
         }
-        for (Outlet next = stopped.poll(); next != null; next = stopped.poll()) {
-            next.resume();
+        for (Runnable next = stopped.poll(); next != null; next = stopped.poll()) {
+            next.run();
         }
         return all;
     }
--- a/src/main/java/puffinbarrow/coordinator/Orca.java
+++ b/src/main/java/puffinbarrow/coordinator/Orca.java
@@ -20,7 +20,12 @@
     private Orca() {}
 
     public static Map<Event.Measure, Double> read(String header) {
-        return header.startsWith("TEXT ") ? read(header.substring(5), NAMES, '=') : new EnumMap<>(Event.Measure.class);
+        return read(header, NAMES);
+    }
+
+    /** The TEXT form with other names for the same measures. */
+    public static Map<Event.Measure, Double> read(String text, Map<String, Event.Measure> names) {
+        return text.startsWith("TEXT ") ? read(text.substring(5), names, '=') : new EnumMap<>(Event.Measure.class);
     }
 
     /** Pairs of a name and a figure, with other names for the same measures. */
--- a/src/main/java/puffinbarrow/coordinator/Ports.java
+++ b/src/main/java/puffinbarrow/coordinator/Ports.java
@@ -39,11 +39,10 @@
 
     /** ADDRESS:PORT; an IOException says what was found. */
     public static InetSocketAddress address(String text) throws IOException {
-        int colon = text.lastIndexOf(':');
-        if (colon < 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")) {
+        if (!text.matches("(?s).*:[0-9]{1,5}")) {
             throw new IOException("found '" + text + "', expected ADDRESS:PORT or a port-file");
         }
-        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+        return Net.address(text);
     }
 
     /** One line to an admin listener, and all that it answers. */
--- a/src/main/java/puffinbarrow/coordinator/Prober.java
+++ b/src/main/java/puffinbarrow/coordinator/Prober.java
@@ -48,9 +48,7 @@
     }
 
     private static InetSocketAddress address(String server) {
-        int colon = server.lastIndexOf(':');
-        return colon < 0 ? null : new InetSocketAddress(server.substring(0, colon),
-                Integer.parseInt(server.substring(colon + 1)));
+        return server.indexOf(':') < 0 ? null : Net.address(server);
     }
 
     public void probe(String server, Consumer<Event.Probed> answer) {
--- a/src/main/java/puffinbarrow/net/Net.java
+++ b/src/main/java/puffinbarrow/net/Net.java
@@ -31,6 +31,15 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
+    /** The inverse of {@link #text}; an IllegalArgumentException for what is no ADDRESS:PORT. */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0) {
+            throw new IllegalArgumentException("no port in " + text);
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
     public static ThreadFactory daemons(String prefix) {
         AtomicInteger count = new AtomicInteger();
         return work -> {
--- a/src/main/java/puffinbarrow/platform/Collectors.java
+++ b/src/main/java/puffinbarrow/platform/Collectors.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.function.Predicate;
 import puffinbarrow.control.Event;
-import puffinbarrow.coordinator.Outlet;
 import puffinbarrow.net.Link;
 import puffinbarrow.net.Net;
 import puffinbarrow.resp.RespException;
@@ -20,11 +19,11 @@
  * be closed after one without joining, so no stranger holds a handle for long. Runs on the channels' threads.
  */
 final class Collectors {
-    /** Takes a sound report; false asks its stream to stop reading until its outlet is resumed. */
+    /** Takes a sound report; false asks its stream to stop reading until it is resumed. */
     interface Sink {
         boolean offer(Event report);
 
-        void stopped(Outlet outlet);
+        void stopped(Runnable resume);
     }
 
     /** Joining and a sign of life are short; only who has joined may send long messages. */
@@ -41,7 +40,7 @@
     private final Tally tally;
     private final int most;
     private final Net net;
-    /** Open streams in the order they came; guarded by itself. */
+    /** Open streams in the order they came; both guarded by the first. */
     private final ArrayDeque<Stream> strangers = new ArrayDeque<>(), joined = new ArrayDeque<>();
 
     /** @param most strangers at a time: beyond, the oldest is turned away */
@@ -80,17 +79,7 @@
         }
     }
 
-    private int count(ArrayDeque<Stream> of) {
-        synchronized (strangers) {
-            return of.size();
-        }
-    }
-
-    int strangers() {
-        return count(strangers);
-    }
-
-    private final class Stream implements Link.Receiver, Outlet {
+    private final class Stream implements Link.Receiver {
         private final RespReader reader = new RespReader(STRANGER_BYTES, this::message);
         private final long openedAt = System.nanoTime();
         private volatile Link link;
@@ -102,9 +91,7 @@
             synchronized (strangers) {
                 strangers.addLast(this);
             }
-            if (count(strangers) > most) {
-                turnAway(stream -> strangers.size() > most, "too many strangers");
-            }
+            turnAway(stream -> strangers.size() > most, "too many strangers");
         }
 
         @Override
@@ -129,7 +116,7 @@
             if (full && !over) {
                 full = false;
                 from.pauseReading(true);
-                sink.stopped(this);
+                sink.stopped(() -> from.pauseReading(false));
             }
         }
 
@@ -197,20 +184,5 @@
                 joined.remove(this);
             }
         }
-
-        @Override
-        public boolean send(ByteBuffer bytes) {
-            return link.send(bytes);
-        }
-
-        @Override
-        public void close(String why) {
-            link.close();
-        }
-
-        @Override
-        public void resume() {
-            link.pauseReading(false);
-        }
     }
 }
--- a/src/main/java/puffinbarrow/platform/Configuration.java
+++ b/src/main/java/puffinbarrow/platform/Configuration.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import puffinbarrow.control.Settings;
+import puffinbarrow.net.Net;
 import puffinbarrow.wire.Facts;
 import puffinbarrow.wire.Json;
 import puffinbarrow.wire.MalformedBatch;
@@ -47,10 +48,8 @@
 
     static InetSocketAddress address(Object value, String what) {
         String text = String.valueOf(value);
-        int colon = text.lastIndexOf(':');
         try {
-            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return Net.address(text);
         } catch (IllegalArgumentException none) {
             throw new Refused(what + ": wanted ADDRESS:PORT, found " + text);
         }
--- a/src/main/java/puffinbarrow/platform/DiscoveryClient.java
+++ b/src/main/java/puffinbarrow/platform/DiscoveryClient.java
@@ -92,20 +92,23 @@
             }
             host.tally().count("discovery.answers");
         } catch (Refused | IOException wrong) {
-            host.tally().note("discovery.failed", wrong.getMessage());
             follow(false);
-            host.happened(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
+            failed(wrong);
         }
     }
 
+    private void failed(Exception wrong) {
+        host.tally().note("discovery.failed", wrong.getMessage());
+        host.happened(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
+    }
+
     /** Asks once for the whole list. */
     void fetch() {
         single.call(at, get("/api/targets"), ANSWER_MS, ended -> host.offer(() -> {
             try {
                 take(read(ended));
             } catch (Refused | IOException wrong) {
-                host.tally().note("discovery.failed", wrong.getMessage());
-                host.happened(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
+                failed(wrong);
             }
         }));
     }
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -154,16 +154,11 @@
         }
         Call call = calls.peekFirst();
         out = true;
-        byte[] body = ("Action=CommitChanges&changes="
-                + URLEncoder.encode(String.join(";", call.texts), StandardCharsets.UTF_8))
-                .getBytes(StandardCharsets.US_ASCII);
-        byte[] head = ("POST /api/ HTTP/1.1\r\nhost: " + Net.text(to)
-                + "\r\ncontent-type: application/x-www-form-urlencoded\r\ncontent-length: " + body.length + "\r\n\r\n")
-                .getBytes(StandardCharsets.US_ASCII);
-        byte[] request = new byte[head.length + body.length];
-        System.arraycopy(head, 0, request, 0, head.length);
-        System.arraycopy(body, 0, request, head.length, body.length);
-        caller.call(to, request, ANSWER_MS, ended -> host.offer(() -> ended(call, ended)));
+        // A form's body is plain ASCII once it is escaped.
+        String body = "Action=CommitChanges&changes=" + URLEncoder.encode(String.join(";", call.texts), StandardCharsets.UTF_8);
+        String request = "POST /api/ HTTP/1.1\r\nhost: " + Net.text(to)
+                + "\r\ncontent-type: application/x-www-form-urlencoded\r\ncontent-length: " + body.length() + "\r\n\r\n" + body;
+        caller.call(to, request.getBytes(StandardCharsets.US_ASCII), ANSWER_MS, ended -> host.offer(() -> ended(call, ended)));
     }
 
     private void ended(Call call, HttpCaller.Ended ended) {
@@ -201,8 +196,8 @@
         host.tally().count("calls.taken");
         host.tally().say("call orders=" + taken + " proxies=" + standing.proxies() + " "
                 + Translation.brief(String.join(";", call.texts)));
-        call.orders.subList(0, taken).forEach(standing::took);
         call.orders.subList(0, taken).forEach(order -> {
+            standing.took(order);
             if (order instanceof Order.Mark mark && mark.number() != lastMark) {
                 lastMark = mark.number();
                 answered.clear();
@@ -326,11 +321,10 @@
 
     private void settle(NewsStream which, List<Event> events) {
         if (which.opening != null) {
-            boolean anew = stream == null && which.heardAt - deafSince > emptyNs;
-            which.opening.settle(which.sinceAsked, anew, events);
+            boolean gap = stream == null;
+            which.opening.settle(which.sinceAsked, gap && which.heardAt - deafSince > emptyNs, events);
             which.opening = null;
             which.sinceAsked.clear();
-            boolean gap = stream == null;
             if (!gap) {
                 stream.close();
             }
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.PriorityQueue;
@@ -12,8 +11,8 @@
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.coordinator.Failures;
 import puffinbarrow.coordinator.Inbox;
-import puffinbarrow.coordinator.Outlet;
 import puffinbarrow.coordinator.Prober;
 import puffinbarrow.net.Net;
 
@@ -28,9 +27,6 @@
     /** The simulator's own tick: what comes within it is decided as one batch, which saves most of the work. */
     private static final long TICK_NS = 4_000_000;
     private static final long WATCH_NS = 250_000_000;
-    /** Failures of the decisions within the span after which a restart is better: it begins with what stands. */
-    private static final int FAILURES = 5;
-    private static final long FAILURE_SPAN_NS = 60_000_000_000L;
     /** A probe's answer may take as long as the platform waits for one. */
     private static final long PROBE_MS = 500;
     /** Handles that are not streams of strangers: the process's own, relay, discovery, collectors, probes. */
@@ -45,11 +41,12 @@
     private final DiscoveryClient discovery;
     private final Prober prober;
     private final Net.Listener listener;
-    private final ArrayDeque<Long> failures = new ArrayDeque<>();
+    private final Failures failures = new Failures();
     private final PriorityQueue<Order.WakeAt> timers =
             new PriorityQueue<>((a, b) -> Long.compare(a.atNs(), b.atNs()));
     private List<Event> batch = new ArrayList<>();
     private volatile boolean running = true;
+    private boolean gaveUp;
 
     /** Reads the configuration and opens its sockets; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
@@ -83,9 +80,9 @@
         }
 
         @Override
-        public void stopped(Outlet outlet) {
+        public void stopped(Runnable resume) {
             tally.count("inbox.overflows");
-            inbox.stopped(outlet);
+            inbox.stopped(resume);
         }
     }
 
@@ -120,7 +117,7 @@
                 pause(early);
             }
         }
-        return failures.size() >= FAILURES;
+        return gaveUp;
     }
 
     private static void pause(long ns) {
@@ -169,11 +166,10 @@
                 Math.min(6, failure.getStackTrace().length)) + " on " + events.size() + " events; what stands is left");
         // The decisions' own timer may have been lost with the batch.
         timers.add(new Order.WakeAt(now + WATCH_NS, 0));
-        failures.addLast(now);
-        while (now - failures.peekFirst() > FAILURE_SPAN_NS) {
-            failures.pollFirst();
+        if (failures.tooMany(now)) {
+            gaveUp = true;
+            running = false;
         }
-        running = failures.size() < FAILURES;
     }
 
     /** The configuration was replaced; any thread. What may change alive is where discovery and relay are. */
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
 
@@ -15,7 +16,7 @@
  */
 final class Standing {
     private final Translation words;
-    private final TreeMap<Integer, Event.ProxyJoined> joined = new TreeMap<>();
+    private final TreeSet<Integer> joined = new TreeSet<>();
     private final TreeMap<Integer, TreeMap<String, Double>> slices = new TreeMap<>();
     /** Slices given whose lines may still be coming. */
     private final TreeMap<Integer, TreeMap<String, Double>> given = new TreeMap<>();
@@ -43,7 +44,7 @@
             case "attach" -> {
                 Event.ProxyJoined proxy = words.joined(fields);
                 left(proxy.proxy(), out);
-                joined.put(proxy.proxy(), proxy);
+                joined.add(proxy.proxy());
                 out.add(proxy);
             }
             case "detach" -> left(words.proxy(fields), out);
@@ -55,7 +56,7 @@
     }
 
     private void left(int proxy, List<Event> out) {
-        if (joined.remove(proxy) != null) {
+        if (joined.remove(proxy)) {
             out.add(new Event.ProxyLeft(proxy));
         }
     }
@@ -158,10 +159,10 @@
          *     that stayed must not be: what waits for it in the channel would count as gone
          */
         void settle(List<Order> onTheWay, boolean anew, List<Event> out) {
-            List.copyOf(joined.keySet()).stream().filter(id -> anew || !proxies.containsKey(id))
+            List.copyOf(joined).stream().filter(id -> anew || !proxies.containsKey(id))
                     .forEach(id -> left(id, out));
             proxies.forEach((id, proxy) -> {
-                if (joined.put(id, proxy) == null) {
+                if (joined.add(id)) {
                     out.add(proxy);
                 }
             });
--- a/src/main/java/puffinbarrow/platform/Tally.java
+++ b/src/main/java/puffinbarrow/platform/Tally.java
@@ -27,8 +27,9 @@
         this.out = out;
     }
 
-    void count(String name) {
-        counters.computeIfAbsent(name, n -> new AtomicLong()).incrementAndGet();
+    /** How often it has come to now. */
+    long count(String name) {
+        return counters.computeIfAbsent(name, n -> new AtomicLong()).incrementAndGet();
     }
 
     long value(String name) {
@@ -38,8 +39,7 @@
 
     /** Counts and says it, the first times and then every hundredth: one cause may come by the thousand. */
     void note(String name, String line) {
-        count(name);
-        long times = value(name);
+        long times = count(name);
         if (times <= 5 || times % 100 == 0) {
             say(name + " times=" + times + " " + line);
         }
--- a/src/main/java/puffinbarrow/platform/Translation.java
+++ b/src/main/java/puffinbarrow/platform/Translation.java
@@ -99,7 +99,7 @@
 
     /** A backend's answer to a probe: {@code TEXT busy_reqs=7, cpu_share=0.61}. */
     static Map<Measure, Double> probed(String body) {
-        return body.startsWith("TEXT ") ? Orca.read(body.substring(5), Json.MEASURES, '=') : Map.of();
+        return Orca.read(body, Json.MEASURES);
     }
 
     /** A joined proxy. */
--- a/src/main/java/puffinbarrow/standin/PlainProxy.java
+++ b/src/main/java/puffinbarrow/standin/PlainProxy.java
@@ -570,10 +570,7 @@
 
     private InetSocketAddress address(String server) {
         synchronized (addresses) {
-            return addresses.computeIfAbsent(server, s -> {
-                int colon = s.lastIndexOf(':');
-                return new InetSocketAddress(s.substring(0, colon), Integer.parseInt(s.substring(colon + 1)));
-            });
+            return addresses.computeIfAbsent(server, Net::address);
         }
     }
 
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -43,6 +43,12 @@
                 SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, droppedStay, droppedStay, 0);
     }
 
+    /** A channel that holds little. */
+    static FakeHost narrow(int slices, double queueLimit, int proxies) {
+        return new FakeHost(new Settings(false, false, true, GROUPS, slices, false, queueLimit, 4000, 10, 0, 10 * SECOND,
+                SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, proxies));
+    }
+
     /** Servers s0.. listed, slices spread over them in turn, two proxies. */
     static FakeHost of(int servers, int slices) {
         FakeHost host = new FakeHost(settings(slices, false, 0));
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -12,7 +12,6 @@
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Event.Listed;
 import puffinbarrow.control.Order;
-import puffinbarrow.control.Settings;
 
 /** Stories of a coordinator: what it hears, and what its proxies then hold. */
 class LogicTest {
@@ -346,8 +345,7 @@
     @Test
     void aTurnWhoseSlicesWereTakenAwayMeanwhileHoldsUpNoneThatFollows() {
         // A channel so narrow that an urgent turn fills most of it.
-        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 60, false, 150, 4000, 10, 0,
-                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 0));
+        FakeHost host = FakeHost.narrow(60, 150, 0);
         host.begin(10, 10);
         host.run(5);
         int before = host.turns.size();
@@ -371,8 +369,7 @@
 
     @Test
     void whileProxiesArriveATurnIsSizedForAllThatThereAre() {
-        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 200, false, 4000, 4000, 10, 0,
-                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 100));
+        FakeHost host = FakeHost.narrow(200, 4000, 100);
         List<Event.Entry> entries = new ArrayList<>();
         for (int i = 0; i < 20; i++) {
             entries.add(FakeHost.entry("s" + i, Listed.READY, 0));
@@ -391,8 +388,7 @@
 
     @Test
     void masksSaidAgainWithLinesForBareSlicesOverfillNoTurn() {
-        FakeHost host = new FakeHost(new Settings(false, false, true, FakeHost.GROUPS, 200, false, 1000, 4000, 10, 0,
-                10 * SECOND, SECOND, 2 * SECOND, 16 * SECOND, 0.2, 3, false, false, 10));
+        FakeHost host = FakeHost.narrow(200, 1000, 10);
         host.begin(60, 120);
         host.run(20);
         for (int i = 0; i < 40; i++) {
--- a/src/test/java/puffinbarrow/coordinator/InterleavingTest.java
+++ b/src/test/java/puffinbarrow/coordinator/InterleavingTest.java
@@ -29,26 +29,12 @@
         Lincheck.runConcurrentTest(ORDERS, () -> {
             Inbox<Input> inbox = new Inbox<>(2);
             AtomicInteger resumed = new AtomicInteger();
-            Outlet outlet = new Outlet() {
-                @Override
-                public boolean send(java.nio.ByteBuffer bytes) {
-                    return false;
-                }
-
-                @Override
-                public void close(String why) {}
-
-                @Override
-                public void resume() {
-                    resumed.incrementAndGet();
-                }
-            };
             int[] stops = new int[1];
             Thread producer = new Thread(() -> {
                 for (int i = 0; i < 3; i++) {
                     if (!inbox.offer(input(i))) {
                         stops[0]++;
-                        inbox.stopped(outlet);
+                        inbox.stopped(resumed::incrementAndGet);
                     }
                 }
             });
