Races read and mended: repeats, hand-overs, list watches, kept connections, start, reload

What is older than what was asked from begins anew; changes without a base ask for the whole list. A fetch overtaken by the watch is asked anew instead of dropped. - The next call of a watch was asked before its answer was taken, so each change was told twice and five coordinators asked twice as often (DiscoveryClient.answered). - A kept connection closed at the moment of use counted as a failed watch. A GET whose stream ends before the first byte of its answer is made once more (HttpCaller, RFC 9112 9.3.1); calls to the relay are not. - Bytes after an answer were taken for the beginning of the next one (HttpCaller.received). - A sign of life was answered before the first decision (listener in Service's constructor). Bound early, accepting after it. - A half-written configuration was read once and never again; changed settings were passed over without a word (Service.reload).

--- a/src/main/java/puffinbarrow/net/HttpCaller.java
+++ b/src/main/java/puffinbarrow/net/HttpCaller.java
@@ -18,52 +18,81 @@
     private final long connectMs;
     private final long keepNs;
     private final int bodyBytes;
+    private final boolean idempotent;
+    /** Guarded by this: the caller's thread and the channels' may both replace it. */
     private Stream kept;
 
-    /** @param keepMs a stream idle for longer is not used again: the far end may be closing it just then */
-    public HttpCaller(Net net, long connectMs, long keepMs, int bodyBytes) {
+    /**
+     * @param keepMs a stream idle for longer is not used again: the far end may be closing it just then
+     * @param idempotent whether a call may be made twice: one whose kept stream ends before the first byte of its
+     *     answer, as the far end closed it at that very moment, is then made once more over a fresh one (RFC 9112, 9.3.1)
+     */
+    public HttpCaller(Net net, long connectMs, long keepMs, int bodyBytes, boolean idempotent) {
         this.net = net;
         this.connectMs = connectMs;
         this.keepNs = keepMs * 1_000_000;
         this.bodyBytes = bodyBytes;
+        this.idempotent = idempotent;
     }
 
     /** @param timeoutMs for the answer, from when the request is sent */
     public void call(InetSocketAddress to, byte[] request, long timeoutMs, Consumer<Ended> done) {
-        Call call = new Call(done);
-        Stream stream = kept;
-        if (stream != null && stream.takes(to, call)) {
-            stream.send(request, call, timeoutMs);
+        Call call = new Call(to, request, timeoutMs, done);
+        Stream stream;
+        synchronized (this) {
+            stream = kept != null && kept.takes(call) ? kept : null;
+        }
+        if (stream != null) {
+            stream.send();
         } else {
             close();
-            Stream fresh = new Stream(to, call);
+            dial(call);
+        }
+    }
+
+    private void dial(Call call) {
+        Stream fresh = new Stream(call);
+        synchronized (this) {
             kept = fresh;
-            net.dial(to, fresh, 1 << 20, connectMs, link -> {
-                fresh.link = link;
-                if (fresh.abandoned) {
-                    call.end(null, "given up");
-                    link.close();
-                } else {
-                    fresh.send(request, call, timeoutMs);
-                }
-            }, failure -> call.end(null, "no connection: " + failure.getMessage()));
         }
+        net.dial(call.to, fresh, 1 << 20, connectMs, link -> {
+            fresh.link = link;
+            if (fresh.abandoned) {
+                call.end(null, "given up");
+                link.close();
+            } else {
+                fresh.send();
+            }
+        }, failure -> call.end(null, "no connection: " + failure.getMessage()));
     }
 
     /** Gives the stream up; a call that is out fails. */
     public void close() {
-        if (kept != null) {
-            kept.abandon();
+        Stream stream;
+        synchronized (this) {
+            stream = kept;
+            kept = null;
+        }
+        if (stream != null) {
+            stream.abandon();
         }
-        kept = null;
     }
 
     private static final class Call {
+        final InetSocketAddress to;
+        final byte[] request;
+        final long timeoutMs;
         final Consumer<Ended> done;
         final AtomicBoolean ended = new AtomicBoolean();
         volatile boolean sent;
+        /** Over which it goes, and whether that was kept from a call before. */
+        volatile Stream over;
+        private volatile boolean overKept;
 
-        Call(Consumer<Ended> done) {
+        Call(InetSocketAddress to, byte[] request, long timeoutMs, Consumer<Ended> done) {
+            this.to = to;
+            this.request = request;
+            this.timeoutMs = timeoutMs;
             this.done = done;
         }
 
@@ -83,34 +112,69 @@
         private volatile Call call;
         private volatile long idleSince;
         private volatile boolean abandoned;
+        /** Whether a byte of the answer to the call has come. */
+        private volatile boolean answering;
+        /** The call's answer; on the channels' thread. */
+        private HttpParser.Message answer;
 
-        Stream(InetSocketAddress to, Call call) {
-            this.to = to;
+        Stream(Call call) {
+            this.to = call.to;
             this.call = call;
+            call.over = this;
         }
 
-        boolean takes(InetSocketAddress wanted, Call next) {
+        boolean takes(Call next) {
             Call before = call;
-            if (!to.equals(wanted) || abandoned || link == null || link.ended() || !before.ended.get()
+            if (!to.equals(next.to) || abandoned || link == null || link.ended() || !before.ended.get()
                     || System.nanoTime() - idleSince > keepNs) {
                 return false;
             }
+            answering = false;
+            next.over = this;
+            next.overKept = true;
             call = next;
             return true;
         }
 
-        void send(byte[] request, Call now, long timeoutMs) {
+        void send() {
+            Call now = call;
             now.sent = true;
-            if (!link.send(ByteBuffer.wrap(request))) {
-                now.end(null, "the stream ended just then");
+            if (!link.send(ByteBuffer.wrap(now.request))) {
+                now.sent = false;
+                lost(now, true, "the stream ended just then");
+                return;
             }
-            net.schedule(timeoutMs, () -> {
-                if (now.end(null, "no answer within " + timeoutMs + " ms")) {
-                    abandon();
+            net.schedule(now.timeoutMs, () -> {
+                if (now.end(null, "no answer within " + now.timeoutMs + " ms")) {
+                    Stream last = now.over;
+                    if (last != null) {
+                        last.abandon();
+                    }
                 }
             });
         }
 
+        /** The stream ended under the call. */
+        private void lost(Call now, boolean unanswered, String why) {
+            boolean again;
+            synchronized (HttpCaller.this) {
+                if (now.over != this) {
+                    // It goes on over another.
+                    return;
+                }
+                again = idempotent && unanswered && now.overKept && kept == this && !now.ended.get();
+                if (again) {
+                    now.overKept = false;
+                    now.over = null;
+                }
+            }
+            if (again) {
+                dial(now);
+            } else {
+                now.end(null, why);
+            }
+        }
+
         void abandon() {
             abandoned = true;
             Link open = link;
@@ -125,13 +189,31 @@
                 abandon();
                 return;
             }
+            answering = true;
             parser.feed(bytes);
+            deliver();
         }
 
         private void answered(HttpParser.Message message) {
+            abandoned |= answer != null || message.header("connection").equalsIgnoreCase("close");
+            answer = answer == null ? message : answer;
+        }
+
+        /** Ends the call if its answer is whole; the stream is given up first, as the next call may come at once. */
+        private void deliver() {
+            if (answer == null) {
+                return;
+            }
+            HttpParser.Message whole = answer;
+            answer = null;
             idleSince = System.nanoTime();
-            abandoned |= message.header("connection").equalsIgnoreCase("close");
-            call.end(message, null);
+            // What follows unasked would be taken for the next call's answer.
+            abandoned |= !parser.idle();
+            boolean over = abandoned;
+            call.end(whole, null);
+            if (over) {
+                abandon();
+            }
         }
 
         @Override
@@ -139,8 +221,10 @@
             abandoned = true;
             if (cause == Link.Cause.PEER_CLOSED) {
                 parser.closed();
+                deliver();
             }
-            call.end(null, cause + " " + detail);
+            boolean byPeer = cause == Link.Cause.PEER_CLOSED || cause == Link.Cause.BROKEN;
+            lost(call, byPeer && !answering, cause + " " + detail);
         }
     }
 }
--- a/src/main/java/puffinbarrow/net/Net.java
+++ b/src/main/java/puffinbarrow/net/Net.java
@@ -57,10 +57,17 @@
     public static final class Listener implements AutoCloseable {
         private final AsynchronousServerSocketChannel channel;
         private final InetSocketAddress address;
+        private final Runnable accepting;
 
-        private Listener(AsynchronousServerSocketChannel channel) throws IOException {
+        private Listener(AsynchronousServerSocketChannel channel, Runnable accepting) throws IOException {
             this.channel = channel;
             this.address = (InetSocketAddress) channel.getLocalAddress();
+            this.accepting = accepting;
+        }
+
+        /** Once: whoever connected since it was bound has waited in the system's queue. */
+        public void accept() {
+            accepting.run();
         }
 
         public InetSocketAddress address() {
@@ -80,12 +87,18 @@
     /** Listens; each stream that comes gets the receiver that is made for it. */
     public Listener listen(InetSocketAddress at, long queueBytes, Function<AsynchronousSocketChannel,
             Link.Receiver> receivers) throws IOException {
+        Listener listener = bind(at, queueBytes, receivers);
+        listener.accept();
+        return listener;
+    }
+
+    /** Takes the address; nobody is answered before {@link Listener#accept}. */
+    public Listener bind(InetSocketAddress at, long queueBytes, Function<AsynchronousSocketChannel,
+            Link.Receiver> receivers) throws IOException {
         AsynchronousServerSocketChannel server = AsynchronousServerSocketChannel.open(group);
         server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(at, 1024);
-        Listener listener = new Listener(server);
-        accept(server, queueBytes, receivers);
-        return listener;
+        return new Listener(server, () -> accept(server, queueBytes, receivers));
     }
 
     private void accept(AsynchronousServerSocketChannel server, long queueBytes,
--- a/src/main/java/puffinbarrow/platform/Collectors.java
+++ b/src/main/java/puffinbarrow/platform/Collectors.java
@@ -52,8 +52,9 @@
         this.most = most;
     }
 
-    Net.Listener listen(InetSocketAddress at) throws IOException {
-        Net.Listener listener = net.listen(at, UNREAD_BYTES, channel -> new Stream());
+    /** Nobody is answered before the listener accepts. */
+    Net.Listener bind(InetSocketAddress at) throws IOException {
+        Net.Listener listener = net.bind(at, UNREAD_BYTES, channel -> new Stream());
         net.schedule(200, this::sweep);
         return listener;
     }
--- a/src/main/java/puffinbarrow/platform/DiscoveryClient.java
+++ b/src/main/java/puffinbarrow/platform/DiscoveryClient.java
@@ -41,8 +41,8 @@
         this.host = host;
         this.words = words;
         this.at = at;
-        this.watch = new HttpCaller(net, CONNECT_MS, 1_000_000, LIST_BYTES);
-        this.single = new HttpCaller(net, CONNECT_MS, 0, LIST_BYTES);
+        this.watch = new HttpCaller(net, CONNECT_MS, 1_000_000, LIST_BYTES, true);
+        this.single = new HttpCaller(net, CONNECT_MS, 0, LIST_BYTES, true);
         this.version = known.version();
         addresses.putAll(known.addresses());
     }
@@ -75,21 +75,27 @@
     }
 
     private void ask(long which, long holdMs) {
-        byte[] request = get("/api/targets?from=" + version + "&hold_ms=" + holdMs);
+        long from = version;
+        byte[] request = get("/api/targets?from=" + from + "&hold_ms=" + holdMs);
         watch.call(at, request, holdMs + ANSWER_MS, ended -> host.offer(() -> {
             if (which == life && following) {
-                answered(which, ended, holdMs == 0);
+                answered(which, ended, holdMs == 0, from);
             }
         }));
     }
 
-    private void answered(long which, HttpCaller.Ended ended, boolean first) {
+    private void answered(long which, HttpCaller.Ended ended, boolean first, long from) {
         try {
             Translation.Listing listing = read(ended);
-            ask(which, HOLD_MS);
+            if (beganAnew(listing, from) && listing.list().kind() != Event.ListKind.WHOLE) {
+                resync(which);
+                return;
+            }
             if (first || !listing.list().entries().isEmpty() || listing.list().kind() == Event.ListKind.WHOLE) {
                 take(listing);
             }
+            // From what was just told: asked before, the service would say the same again at once.
+            ask(which, HOLD_MS);
             host.tally().count("discovery.answers");
         } catch (Refused | IOException wrong) {
             follow(false);
@@ -97,6 +103,25 @@
         }
     }
 
+    /** An answer older than what was asked from isn't late: the service counts from another beginning now. */
+    private boolean beganAnew(Translation.Listing listing, long from) {
+        if (listing.version() >= from) {
+            return false;
+        }
+        host.tally().note("discovery.began_anew", "generation " + listing.version() + " after " + from);
+        version = 0;
+        return true;
+    }
+
+    /** Changes without their base say nothing: the whole list first, then the watch goes on. */
+    private void resync(long which) {
+        watch.call(at, get("/api/targets"), ANSWER_MS, ended -> host.offer(() -> {
+            if (which == life && following) {
+                answered(which, ended, true, 0);
+            }
+        }));
+    }
+
     private void failed(Exception wrong) {
         host.tally().note("discovery.failed", wrong.getMessage());
         host.happened(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
@@ -104,9 +129,15 @@
 
     /** Asks once for the whole list. */
     void fetch() {
+        long from = version;
         single.call(at, get("/api/targets"), ANSWER_MS, ended -> host.offer(() -> {
             try {
-                take(read(ended));
+                Translation.Listing listing = read(ended);
+                beganAnew(listing, from);
+                if (!take(listing)) {
+                    // A watch's answer overtook it; whoever asked still waits for a whole list.
+                    fetch();
+                }
             } catch (Refused | IOException wrong) {
                 failed(wrong);
             }
@@ -123,10 +154,10 @@
         return words.listing(Configuration.json(ended.answer().body()));
     }
 
-    private void take(Translation.Listing listing) {
+    private boolean take(Translation.Listing listing) {
         if (listing.version() < version) {
             host.tally().count("discovery.older");
-            return;
+            return false;
         }
         version = listing.version();
         if (listing.list().kind() == Event.ListKind.WHOLE) {
@@ -136,6 +167,7 @@
         listing.list().entries().stream().filter(e -> e.listed() == Event.Listed.GONE)
                 .forEach(e -> addresses.remove(e.server()));
         host.happened(listing.list());
+        return true;
     }
 
     private byte[] get(String target) {
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -7,7 +7,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Set;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
 import puffinbarrow.net.HttpCaller;
@@ -51,6 +55,8 @@
         int refusals;
         /** It was sent, and no answer tells whether it was taken. */
         boolean doubtful;
+        /** An answer to its mark came while it was out. */
+        boolean proven;
         /** Between two tries. */
         boolean pausing;
         long pauseMs = LEAST_PAUSE_MS;
@@ -83,7 +89,7 @@
         this.words = words;
         this.to = to;
         this.standing = new Standing(words);
-        this.caller = new HttpCaller(net, CONNECT_MS, KEEP_MS, 64 * 1024);
+        this.caller = new HttpCaller(net, CONNECT_MS, KEEP_MS, 64 * 1024, false);
     }
 
     void start() {
@@ -110,21 +116,24 @@
 
     /** Orders of one batch: one call, unless they are too many for it. */
     void order(List<Order> orders) {
-        Call call = new Call();
+        calls(orders).forEach(this::queue);
+        send();
+    }
+
+    private Deque<Call> calls(List<Order> orders) {
+        ArrayDeque<Call> calls = new ArrayDeque<>(List.of(new Call()));
         int bytes = 0;
         for (Order order : orders) {
             String text = words.order(order);
             if (bytes + text.length() > CALL_BYTES) {
-                queue(call);
-                call = new Call();
+                calls.addLast(new Call());
                 bytes = 0;
             }
             bytes += text.length() + 1;
-            call.orders.add(order);
-            call.texts.add(text);
+            calls.peekLast().orders.add(order);
+            calls.peekLast().texts.add(text);
         }
-        queue(call);
-        send();
+        return calls;
     }
 
     private void queue(Call call) {
@@ -165,7 +174,9 @@
         out = false;
         if (ended.answer() == null) {
             host.tally().note("calls.broken", ended.failure());
-            doubt(call, ended.sent());
+            if (!proved(call)) {
+                doubt(call, ended.sent());
+            }
             return;
         }
         String text = new String(ended.answer().body(), StandardCharsets.UTF_8);
@@ -186,7 +197,9 @@
                 send();
                 return;
             }
-            doubt(call, !text.contains("SYNTAX"));
+            if (!proved(call)) {
+                doubt(call, !text.contains("SYNTAX"));
+            }
             return;
         }
         taken(call, taken);
@@ -233,17 +246,31 @@
         }));
     }
 
-    /** A proxy answered to a mark: if a call in doubt carried it, that call was taken and isn't made again. */
-    private void proved(Event event) {
+    /** Whether a call that ended without an answer was proved taken while it was out. */
+    private boolean proved(Call call) {
+        if (call.proven) {
+            host.tally().count("calls.proved");
+            taken(call, call.orders.size());
+        }
+        return call.proven;
+    }
+
+    /**
+     * A proxy answered to a mark: the call that carried it was taken and isn't made again. The proof may come before
+     * the call is known to have broken, and is kept for that.
+     */
+    private void heard(Event event) {
         if (event instanceof Event.InForce done && done.mark() == lastMark) {
             answered.set(done.proxy());
         }
         Call call = calls.peekFirst();
-        if (event instanceof Event.InForce done && call != null && call.doubtful && call.pausing
+        if (event instanceof Event.InForce done && call != null && (call.doubtful || !call.pausing) && out
                 && call.orders.get(call.orders.size() - 1) instanceof Order.Mark mark && mark.number() == done.mark()) {
-            host.tally().count("calls.proved");
-            call.pausing = out = false;
-            taken(call, call.orders.size());
+            call.proven = true;
+            if (call.pausing) {
+                call.pausing = out = false;
+                proved(call);
+            }
         }
     }
 
@@ -301,7 +328,7 @@
                 host.tally().note("news.refused", wrong.getMessage());
             }
         }
-        events.forEach(this::proved);
+        events.forEach(this::heard);
         events.forEach(host::happened);
         if (which.opening != null || standing.unsettled()) {
             net.schedule(SETTLE_MS, () -> host.offer(() -> quiet(which, at)));
@@ -322,7 +349,9 @@
     private void settle(NewsStream which, List<Event> events) {
         if (which.opening != null) {
             boolean gap = stream == null;
-            which.opening.settle(which.sinceAsked, gap && which.heardAt - deafSince > emptyNs, events);
+            Set<Integer> given = which.opening.settle(which.sinceAsked,
+                    gap && which.heardAt - deafSince > emptyNs, events);
+            repeat(given, which.sinceAsked);
             which.opening = null;
             which.sinceAsked.clear();
             if (!gap) {
@@ -339,8 +368,34 @@
         } else if (standing.unsettled()) {
             List<Order> onTheWay = new ArrayList<>();
             calls.forEach(call -> onTheWay.addAll(call.orders));
-            standing.settle(onTheWay, events);
+            repeat(standing.settle(onTheWay, events), onTheWay);
+        }
+    }
+
+    /**
+     * The relay may have taken these while their slices were another's, where they change nothing, or before another
+     * set their lines; the decisions are told them as standing. Those already sent are said once more, before what
+     * waits; setting a line twice does no harm.
+     */
+    private void repeat(Set<Integer> given, List<Order> onTheWay) {
+        Set<Order> unsent = Collections.newSetFromMap(new IdentityHashMap<>());
+        calls.stream().skip(out ? 1 : 0).forEach(call -> unsent.addAll(call.orders));
+        List<Order> again = onTheWay.stream().filter(order -> !unsent.contains(order)
+                && (order instanceof Order.SetLine o && given.contains(o.table())
+                        || order instanceof Order.ClearTable c && given.contains(c.table()))).toList();
+        if (again.isEmpty()) {
+            return;
+        }
+        host.tally().note("orders.repeated", again.size() + " whose slices went and came");
+        Call head = out ? calls.pollFirst() : null;
+        calls(again).descendingIterator().forEachRemaining(calls::addFirst);
+        if (head != null) {
+            calls.addFirst(head);
         }
+        if (next != null) {
+            next.sinceAsked.addAll(again);
+        }
+        send();
     }
 
     private void lost(NewsStream which, String why) {
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -29,10 +29,14 @@
     private static final long WATCH_NS = 250_000_000;
     /** A probe's answer may take as long as the platform waits for one. */
     private static final long PROBE_MS = 500;
+    /** Until a configuration that can't be read is read again; doubles up to the second, six seconds in all. */
+    private static final long REREAD_MS = 100, MOST_REREAD_MS = 3200;
     /** Handles that are not streams of strangers: the process's own, relay, discovery, collectors, probes. */
     private static final int OWN_HANDLES = 128;
 
     private final Path file;
+    /** As it was at the start. */
+    private final Configuration config;
     private final Tally tally;
     private final Inbox<Runnable> inbox = new Inbox<>(INBOX);
     private final Net net;
@@ -47,6 +51,8 @@
     private List<Event> batch = new ArrayList<>();
     private volatile boolean running = true;
     private boolean gaveUp;
+    /** Signals to read the configuration again. */
+    private long reloads;
 
     /** Reads the configuration and opens its sockets; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
@@ -68,9 +74,8 @@
                 new Prober.Question("/-/load", answer -> Translation.probed(new String(answer.body()))));
         happened(new Event.ServerList(Event.ListKind.STALE_COPY, config.known().list().entries()));
         int strangers = Math.max(32, config.sockets() - OWN_HANDLES);
-        this.listener = new Collectors(net, words, new Reports(), tally, strangers).listen(config.listen());
-        tally.say("ready name=" + config.name() + " listen=" + Net.text(listener.address()) + " sockets="
-                + config.sockets() + " known=" + config.known().list().entries().size());
+        this.listener = new Collectors(net, words, new Reports(), tally, strangers).bind(config.listen());
+        this.config = config;
     }
 
     private final class Reports implements Collectors.Sink {
@@ -90,6 +95,11 @@
     public boolean run() {
         inbox.reader(Thread.currentThread());
         relay.start();
+        // Only then does anyone hear that it is up: what is known has been decided on, and all classes are loaded.
+        decide(System.nanoTime());
+        listener.accept();
+        tally.say("ready name=" + config.name() + " listen=" + Net.text(listener.address()) + " sockets="
+                + config.sockets() + " known=" + config.known().list().entries().size());
         long watchAt = System.nanoTime();
         long secondAt = watchAt;
         while (running) {
@@ -111,7 +121,9 @@
                 decide(now);
             }
             long next = Math.min(watchAt, timers.isEmpty() ? watchAt : timers.peek().atNs());
-            LockSupport.parkNanos(Math.max(0, next - System.nanoTime()));
+            if (inbox.isEmpty()) {
+                LockSupport.parkNanos(Math.max(0, next - System.nanoTime()));
+            }
             long early = now + TICK_NS - System.nanoTime();
             if (early > 0 && running) {
                 pause(early);
@@ -174,16 +186,30 @@
 
     /** The configuration was replaced; any thread. What may change alive is where discovery and relay are. */
     public void reload() {
-        offer(() -> {
-            try {
-                Configuration fresh = Configuration.read(Files.readAllBytes(file), Translation.Clock.now());
-                tally.note("reloads", "discovery=" + Net.text(fresh.discovery()) + " relay=" + Net.text(fresh.relay()));
-                discovery.moved(fresh.discovery());
-                relay.moved(fresh.relay());
-            } catch (IOException | RuntimeException wrong) {
+        offer(() -> reload(++reloads, REREAD_MS));
+    }
+
+    /** One that can't be read may be half written yet: it is read again for some seconds, or until the next signal. */
+    private void reload(long which, long pauseMs) {
+        if (which != reloads) {
+            return;
+        }
+        try {
+            Configuration fresh = Configuration.read(Files.readAllBytes(file), Translation.Clock.now());
+            tally.note("reloads", "discovery=" + Net.text(fresh.discovery()) + " relay=" + Net.text(fresh.relay()));
+            if (!fresh.settings().equals(config.settings()) || !fresh.names().equals(config.names())) {
+                tally.note("reloads.settings_kept", "settings changed too; they are taken up at a restart");
+            }
+            discovery.moved(fresh.discovery());
+            relay.moved(fresh.relay());
+        } catch (IOException | RuntimeException wrong) {
+            if (pauseMs == REREAD_MS) {
                 tally.note("reloads.refused", String.valueOf(wrong.getMessage()));
             }
-        });
+            if (pauseMs <= MOST_REREAD_MS) {
+                net.schedule(pauseMs, () -> offer(() -> reload(which, 2 * pauseMs)));
+            }
+        }
     }
 
     InetSocketAddress address() {
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import puffinbarrow.control.Event;
@@ -111,13 +112,16 @@
      * The lines of slices given have come.
      *
      * @param onTheWay orders that the news may not show yet and that will stand: they are asked again until taken
+     * @return the slices given
      */
-    void settle(List<Order> onTheWay, List<Event> out) {
+    Set<Integer> settle(List<Order> onTheWay, List<Event> out) {
         Map<Integer, TreeMap<String, Double>> told = copy(given);
         onTheWay.forEach(order -> carry(order, told));
         told.forEach((slice, lines) -> give(slice, lines, out));
+        Set<Integer> settled = Set.copyOf(given.keySet());
         slices.putAll(given);
         given.clear();
+        return settled;
     }
 
     private static void give(int slice, TreeMap<String, Double> lines, List<Event> out) {
@@ -157,8 +161,9 @@
          * @param onTheWay orders that were on the way when the stream was asked for, or since
          * @param anew whether proxies may have gone and come back unseen: they are told as joined anew. A proxy
          *     that stayed must not be: what waits for it in the channel would count as gone
+         * @return the slices given: new ones, and those whose lines are not as they were believed
          */
-        void settle(List<Order> onTheWay, boolean anew, List<Event> out) {
+        Set<Integer> settle(List<Order> onTheWay, boolean anew, List<Event> out) {
             List.copyOf(joined).stream().filter(id -> anew || !proxies.containsKey(id))
                     .forEach(id -> left(id, out));
             proxies.forEach((id, proxy) -> {
@@ -174,13 +179,11 @@
                 carry(order, believed);
                 carry(order, told);
             });
-            told.forEach((slice, lines) -> {
-                if (!same(lines, believed.get(slice))) {
-                    give(slice, lines, out);
-                }
-            });
+            told.entrySet().removeIf(table -> same(table.getValue(), believed.get(table.getKey())));
+            told.forEach((slice, lines) -> give(slice, lines, out));
             given.clear();
             slices.putAll(tables);
+            return told.keySet();
         }
     }
 
