Signals before the service stands: HUP is kept, TERM ends well, an ignored HUP is said

The coordinators' logs had no 'reloads' at all, and from the move of the addresses on 'discovery.failed ... no connection: Connection refused' and 'news.not_had times=100'. An ignored SIGHUP is handed down by whoever starts the process, and the machine then installs no handler (Signal.handle answers SIG_IGN): nothing can be mended here, but it is said now at the start.

Found on reading: HUP and TERM were taken only after the listener was open (Main.serve); one that came before ended the process with 129 or 143. They are taken first now, and a HUP that comes before the service stands is kept for it.

--- a/src/main/java/puffinbarrow/cli/Main.java
+++ b/src/main/java/puffinbarrow/cli/Main.java
@@ -28,9 +28,14 @@
             System.err.println("puffinbarrow: serve wants RELAY_CONFIG, the configuration's file");
             return 2;
         }
+        // Before anything else: the machine's own answer to either would end the process as if it had failed.
+        Signals.on("TERM", () -> Runtime.getRuntime().halt(0));
+        Reloads reloads = new Reloads();
+        if (!Signals.on("HUP", reloads::signalled)) {
+            System.out.println("signals.ignored HUP: started with it ignored; new configurations wait for a restart");
+        }
         try (Service service = new Service(Path.of(file), Logic::new)) {
-            Signals.on("HUP", service::reload);
-            Signals.on("TERM", () -> Runtime.getRuntime().halt(0));
+            reloads.goTo(service);
             return service.run() ? 1 : 0;
         } catch (IOException | RuntimeException wrong) {
             System.err.println("puffinbarrow: " + file + ": " + wrong);
@@ -38,6 +43,27 @@
         }
     }
 
+    /** Signals to read the configuration again; one that comes before the service stands is kept for it. */
+    private static final class Reloads {
+        private Service service;
+        private boolean missed;
+
+        synchronized void signalled() {
+            if (service == null) {
+                missed = true;
+            } else {
+                service.reload();
+            }
+        }
+
+        synchronized void goTo(Service up) {
+            service = up;
+            if (missed) {
+                up.reload();
+            }
+        }
+    }
+
     private static void wirehost() throws IOException {
         try {
             new WireHost(Logic::new).run(System.in, System.out);
--- a/src/test/java/puffinbarrow/platform/ServiceFixture.java
+++ b/src/test/java/puffinbarrow/platform/ServiceFixture.java
@@ -156,7 +156,9 @@
 
     @AfterEach
     void close() {
-        service.close();
+        if (service != null) {
+            service.close();
+        }
         net.close();
     }
 
@@ -222,7 +224,11 @@
     }
 
     Socket connect(byte[] says) throws IOException {
-        Socket socket = new Socket(service.address().getAddress(), service.address().getPort());
+        return connect(service.address(), says);
+    }
+
+    static Socket connect(InetSocketAddress to, byte[] says) throws IOException {
+        Socket socket = new Socket(to.getAddress(), to.getPort());
         socket.setSoTimeout(20_000);
         socket.getOutputStream().write(says);
         return socket;
