Tests: a queue that overflows while a call is out, news cut at every byte

Both pass on the code as it is: after an overflow all that stands is told anew and the call that was out still ends; events and chunks come through cut at every position. No change of the program.

--- a/src/test/java/puffinbarrow/platform/RaceTest.java
+++ b/src/test/java/puffinbarrow/platform/RaceTest.java
@@ -82,6 +82,27 @@
         assertEquals(1, tally.value("orders.refused"));
     }
 
+    /** Orders left out must not be believed: after as many as may wait, all that stands is told anew. */
+    @Test
+    void aQueueThatOverflowsWhileACallIsOutTellsAnewWhatStands() throws Exception {
+        relay.answers.clear();
+        relay.answers.add("hold");
+        relay.snapshot = PROXY + SLICE;
+        start(List.of());
+        hears(new Event.StoredLine(1, "s1", 1));
+        for (int i = 0; tally.value("calls.overflowed") == 0 && i < 1000; i++) {
+            order(new Order.SetLine(1, "s1", 1 + i));
+            await(toOrder::isEmpty);
+        }
+        hears(new Event.ProxyLeft(8));
+        hears(JOINED);
+        relay.answers.clear();
+        relay.answers.add(taken(1));
+        await(() -> tally.value("calls.taken") >= 2);
+        order(new Order.Mask("s1", true));
+        await(() -> relay.asked().get(relay.asked().size() - 1).endsWith("=withdraw,s1"));
+    }
+
     // ---- Hand-overs.
 
     /** The relay took the orders while the slice was another's, where they change nothing, or before its lines were. */
--- a/src/test/java/puffinbarrow/platform/StandingTest.java
+++ b/src/test/java/puffinbarrow/platform/StandingTest.java
@@ -7,10 +7,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.net.HttpParser;
 import puffinbarrow.wire.Facts;
 
 /** What the relay's news becomes for the decisions, with gaps in it and orders on the way. */
@@ -97,4 +99,28 @@
             assertThrows(Refused.class, () -> news(wrong), wrong);
         }
     }
+
+    @Test
+    void newsComesThroughSplitAtEveryPosition() {
+        String events = "event: attach\ndata: id=8&site=b&rps=2&new=0\n\n:\n\nevent: owner\ndata: range=1&flag=1\n\n";
+        StringBuilder stream = new StringBuilder("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+                + "transfer-encoding: chunked\r\n\r\n");
+        // Borders of chunks fall anywhere too.
+        for (int at = 0; at < events.length(); at += 7) {
+            String chunk = events.substring(at, Math.min(events.length(), at + 7));
+            stream.append(Integer.toHexString(chunk.length())).append("\r\n").append(chunk).append("\r\n");
+        }
+        byte[] bytes = stream.toString().getBytes(StandardCharsets.US_ASCII);
+        List<EventStream.News> wanted = List.of(
+                new EventStream.News("attach", Map.of("id", "8", "site", "b", "rps", "2", "new", "0")), EventStream.SIGN,
+                new EventStream.News("owner", Map.of("range", "1", "flag", "1")));
+        for (int cut = 0; cut <= bytes.length; cut++) {
+            List<EventStream.News> came = new ArrayList<>();
+            EventStream reader = new EventStream(came::add);
+            HttpParser parser = HttpParser.streaming(end -> { }, reader::feed);
+            parser.feed(ByteBuffer.wrap(bytes, 0, cut));
+            parser.feed(ByteBuffer.wrap(bytes, cut, bytes.length - cut));
+            assertEquals(wanted, came, "cut at " + cut);
+        }
+    }
 }
