--- a/src/main/java/puffinbarrow/platform/Collectors.java
+++ b/src/main/java/puffinbarrow/platform/Collectors.java
@@ -132,7 +132,7 @@
             } else if (isJoined) {
                 try {
                     full |= !sink.offer(words.report(message));
-                } catch (Refused spoilt) {
+                } catch (ProtocolException spoilt) {
                     // The messages around it are sound, so the stream goes on.
                     tally.note("reports.refused", spoilt.getMessage() + " in " + Translation.brief(message.toString()));
                 }
@@ -147,7 +147,7 @@
         private void join(List<String> message) {
             try {
                 words.zone(Translation.fields(message));
-            } catch (Refused wrong) {
+            } catch (ProtocolException wrong) {
                 tally.note("streams.rejected", wrong.getMessage());
                 reject(wrong.getMessage());
                 return;
--- a/src/main/java/puffinbarrow/platform/Configuration.java
+++ b/src/main/java/puffinbarrow/platform/Configuration.java
@@ -43,7 +43,7 @@
         if (value instanceof Map<?, ?> map) {
             return map;
         }
-        throw new Refused(what + ": wanted an object, found " + value);
+        throw new ProtocolException(what + ": wanted an object, found " + value);
     }
 
     static InetSocketAddress address(Object value, String what) {
@@ -51,7 +51,7 @@
         try {
             return Net.address(text);
         } catch (IllegalArgumentException none) {
-            throw new Refused(what + ": wanted ADDRESS:PORT, found " + text);
+            throw new ProtocolException(what + ": wanted ADDRESS:PORT, found " + text);
         }
     }
 
--- a/src/main/java/puffinbarrow/platform/DiscoveryClient.java
+++ b/src/main/java/puffinbarrow/platform/DiscoveryClient.java
@@ -97,7 +97,7 @@
             // From what was just told: asked before, the service would say the same again at once.
             ask(which, HOLD_MS);
             host.tally().count("discovery.answers");
-        } catch (Refused | IOException wrong) {
+        } catch (ProtocolException | IOException wrong) {
             follow(false);
             failed(wrong);
         }
@@ -138,7 +138,7 @@
                     // A watch's answer overtook it; whoever asked still waits for a whole list.
                     fetch();
                 }
-            } catch (Refused | IOException wrong) {
+            } catch (ProtocolException | IOException wrong) {
                 failed(wrong);
             }
         }));
--- a/src/main/java/puffinbarrow/platform/EventStream.java
+++ b/src/main/java/puffinbarrow/platform/EventStream.java
@@ -36,7 +36,7 @@
                 line.reset();
                 lineDone(text.endsWith("\r") ? text.substring(0, text.length() - 1) : text);
             } else if (line.size() == LINE_BYTES) {
-                throw new Refused("news: a line over " + LINE_BYTES + " bytes");
+                throw new ProtocolException("news: a line over " + LINE_BYTES + " bytes");
             } else {
                 line.write(b);
             }
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -183,7 +183,7 @@
         int taken;
         try {
             taken = Translation.taken(text, call.orders.size());
-        } catch (Refused unreadable) {
+        } catch (ProtocolException unreadable) {
             caller.close();
             if (text.contains("BUSY")) {
                 host.tally().count("calls.busy");
@@ -324,7 +324,7 @@
                 } else {
                     standing.news(each.kind(), each.fields(), events);
                 }
-            } catch (Refused wrong) {
+            } catch (ProtocolException wrong) {
                 host.tally().note("news.refused", wrong.getMessage());
             }
         }
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/Standing.java
@@ -52,7 +52,7 @@
             case "done" -> out.add(words.inForce(fields));
             case "owner" -> owner(words.slice(fields), words.flag(fields, "flag"), out);
             case "entry" -> entry(words.line(fields), out);
-            default -> throw new Refused("news: no kind is named " + kind);
+            default -> throw new ProtocolException("news: no kind is named " + kind);
         }
     }
 
@@ -151,7 +151,7 @@
                         put(tables.get(line.slice()), line.server(), line.weight());
                     }
                 }
-                default -> throw new Refused("news: no kind is named " + kind);
+                default -> throw new ProtocolException("news: no kind is named " + kind);
             }
         }
 
--- a/src/main/java/puffinbarrow/platform/Translation.java
+++ b/src/main/java/puffinbarrow/platform/Translation.java
@@ -50,12 +50,12 @@
     /** Names to values; what repeats a name or has no value is refused. */
     static Map<String, String> fields(List<String> message) {
         if (message.size() % 2 == 0) {
-            throw new Refused("a name without a value");
+            throw new ProtocolException("a name without a value");
         }
         Map<String, String> fields = new HashMap<>();
         for (int i = 1; i < message.size(); i += 2) {
             if (fields.put(message.get(i), message.get(i + 1)) != null) {
-                throw new Refused("two fields named " + message.get(i));
+                throw new ProtocolException("two fields named " + message.get(i));
             }
         }
         return fields;
@@ -71,7 +71,7 @@
         return switch (message.get(0)) {
             case "upstream_stats" -> serverSums(fields);
             case "range_stats" -> sliceDemand(fields);
-            default -> throw new Refused("no report is named " + message.get(0));
+            default -> throw new ProtocolException("no report is named " + message.get(0));
         };
     }
 
@@ -92,7 +92,7 @@
     private static Map<Measure, Double> load(String pairs) {
         Map<Measure, Double> report = Orca.read(pairs, Json.MEASURES, ':');
         if (report.size() != (pairs.isEmpty() ? 0 : pairs.split(",", -1).length)) {
-            throw new Refused("util: wanted known names with figures from 0, found " + pairs);
+            throw new ProtocolException("util: wanted known names with figures from 0, found " + pairs);
         }
         return report;
     }
@@ -130,7 +130,7 @@
     private static int place(List<String> known, Map<String, String> fields, String name) {
         int at = known.indexOf(text(fields, name));
         if (at < 0) {
-            throw new Refused(name + ": wanted one of " + known + ", found " + fields.get(name));
+            throw new ProtocolException(name + ": wanted one of " + known + ", found " + fields.get(name));
         }
         return at;
     }
@@ -138,7 +138,7 @@
     private static String text(Map<String, String> fields, String name) {
         String value = fields.get(name);
         if (value == null || value.isEmpty() || value.length() > 256) {
-            throw new Refused(name + ": " + (value == null || value.isEmpty() ? "absent" : "over 256 characters"));
+            throw new ProtocolException(name + ": " + (value == null || value.isEmpty() ? "absent" : "over 256 characters"));
         }
         return value;
     }
@@ -153,7 +153,7 @@
         } catch (NumberFormatException none) {
             // Said below.
         }
-        throw new Refused(name + ": wanted a whole number from " + least + " to " + most + ", found " + value);
+        throw new ProtocolException(name + ": wanted a whole number from " + least + " to " + most + ", found " + value);
     }
 
     private static double real(Map<String, String> fields, String name, double least, double most) {
@@ -166,7 +166,7 @@
         } catch (NumberFormatException none) {
             // Said below.
         }
-        throw new Refused(name + ": wanted a number from " + least + " to " + most + ", found " + value);
+        throw new ProtocolException(name + ": wanted a number from " + least + " to " + most + ", found " + value);
     }
 
     private static long ns(double ms) {
@@ -179,7 +179,7 @@
         Map<?, ?> all = Configuration.object(json, "the list");
         if (!(all.get("generation") instanceof Number version) || !(all.get("reset") instanceof Boolean whole)
                 || !(all.get("instances") instanceof List<?> instances)) {
-            throw new Refused("the list: wanted generation, reset and instances");
+            throw new ProtocolException("the list: wanted generation, reset and instances");
         }
         List<Event.Entry> entries = new ArrayList<>();
         Map<String, InetSocketAddress> addresses = new HashMap<>();
@@ -187,7 +187,7 @@
             Map<?, ?> of = Configuration.object(each, "instances");
             Event.Listed listed = STATES.get(String.valueOf(of.get("lifecycle")));
             if (!(of.get("instanceId") instanceof String server) || listed == null) {
-                throw new Refused("instances: wanted an id and a known lifecycle, found " + of);
+                throw new ProtocolException("instances: wanted an id and a known lifecycle, found " + of);
             }
             entries.add(new Event.Entry(server, names.zones().indexOf(String.valueOf(of.get("zone"))),
                     names.kinds().indexOf(String.valueOf(of.get("machineType"))), (int) number(of, "cell"), listed,
@@ -245,7 +245,7 @@
         int from = xml.indexOf("<ok_count>");
         int to = xml.indexOf("</ok_count></item></items></Response>", from);
         if (!xml.startsWith("<?xml ") || from < 0 || to < 0 || !xml.contains("<Response><items><item><ok_count>")) {
-            throw new Refused("no count of orders taken in " + brief(xml));
+            throw new ProtocolException("no count of orders taken in " + brief(xml));
         }
         return (int) whole(Map.of("ok_count", xml.substring(from + 10, to)), "ok_count", 0, of);
     }
--- a/src/test/java/puffinbarrow/platform/OtherCustomerTest.java
+++ b/src/test/java/puffinbarrow/platform/OtherCustomerTest.java
@@ -82,10 +82,10 @@
             List<String> report = new ArrayList<>(List.of("range_stats"));
             report.addAll(other);
             report.addAll(List.of("count", "4", "fail", "0", "over", "1000"));
-            assertThrows(Refused.class, () -> words.report(report));
+            assertThrows(ProtocolException.class, () -> words.report(report));
         }
-        assertThrows(Refused.class, () -> words.joined(Map.of("id", "2", "site", "Süd Ost", "rps", "5", "new", "1")));
-        assertThrows(Refused.class, () -> words.joined(Map.of("id", "0", "site", "a", "rps", "5", "new", "1")));
+        assertThrows(ProtocolException.class, () -> words.joined(Map.of("id", "2", "site", "Süd Ost", "rps", "5", "new", "1")));
+        assertThrows(ProtocolException.class, () -> words.joined(Map.of("id", "0", "site", "a", "rps", "5", "new", "1")));
     }
 
     @Test
--- a/src/test/java/puffinbarrow/platform/StandingTest.java
+++ b/src/test/java/puffinbarrow/platform/StandingTest.java
@@ -96,7 +96,7 @@
     void newsThatCantBeIsRefused() {
         for (String wrong : List.of("attach id=10&site=a&rps=1&new=1", "attach id=1&site=c&rps=1&new=1",
                 "owner range=10&flag=1", "owner range=1&flag=2", "entry range=1&rps=1", "done id=1&seq=x&ms=1", "other id=1")) {
-            assertThrows(Refused.class, () -> news(wrong), wrong);
+            assertThrows(ProtocolException.class, () -> news(wrong), wrong);
         }
     }
 
