--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -65,7 +65,7 @@
     private final Net net;
     private final Host host;
     private final Translation words;
-    private final Standing standing;
+    private final RelaySnapshot snapshot;
     private final HttpCaller caller;
     private InetSocketAddress to;
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
@@ -88,7 +88,7 @@
         this.host = host;
         this.words = words;
         this.to = to;
-        this.standing = new Standing(words);
+        this.snapshot = new RelaySnapshot(words);
         this.caller = new HttpCaller(net, CONNECT_MS, KEEP_MS, 64 * 1024, false);
     }
 
@@ -104,8 +104,8 @@
         }
     }
 
-    Standing standing() {
-        return standing;
+    RelaySnapshot snapshot() {
+        return snapshot;
     }
 
     int waiting() {
@@ -207,10 +207,10 @@
 
     private void taken(Call call, int taken) {
         host.tally().count("calls.taken");
-        host.tally().say("call orders=" + taken + " proxies=" + standing.proxies() + " "
+        host.tally().say("call orders=" + taken + " proxies=" + snapshot.proxies() + " "
                 + Translation.brief(String.join(";", call.texts)));
         call.orders.subList(0, taken).forEach(order -> {
-            standing.took(order);
+            snapshot.took(order);
             if (order instanceof Order.Mark mark && mark.number() != lastMark) {
                 lastMark = mark.number();
                 answered.clear();
@@ -299,7 +299,7 @@
         if (which == next) {
             which.up = true;
             which.heardAt = System.nanoTime();
-            which.opening = standing.new Opening();
+            which.opening = snapshot.new Opening();
             calls.forEach(call -> which.sinceAsked.addAll(call.orders));
         }
     }
@@ -315,14 +315,14 @@
                 settle(which, events);
                 continue;
             }
-            if (which.opening == null && !standing.unsettled()) {
+            if (which.opening == null && !snapshot.unsettled()) {
                 heldSince = at;
             }
             try {
                 if (which.opening != null) {
                     which.opening.news(each.kind(), each.fields(), events);
                 } else {
-                    standing.news(each.kind(), each.fields(), events);
+                    snapshot.news(each.kind(), each.fields(), events);
                 }
             } catch (ProtocolException wrong) {
                 host.tally().note("news.refused", wrong.getMessage());
@@ -330,7 +330,7 @@
         }
         events.forEach(this::heard);
         events.forEach(host::happened);
-        if (which.opening != null || standing.unsettled()) {
+        if (which.opening != null || snapshot.unsettled()) {
             net.schedule(SETTLE_MS, () -> host.offer(() -> quiet(which, at)));
         }
     }
@@ -361,20 +361,20 @@
             next = null;
             host.tally().count("news.streams");
             // Answers to marks that came in the gap are lost; unasked, the decisions would wait for them for ever.
-            if (gap && lastMark >= 0 && calls.isEmpty() && answered.cardinality() < standing.proxies()) {
+            if (gap && lastMark >= 0 && calls.isEmpty() && answered.cardinality() < snapshot.proxies()) {
                 host.tally().count("marks.repeated");
                 order(List.of(new Order.Mark(lastMark, true)));
             }
-        } else if (standing.unsettled()) {
+        } else if (snapshot.unsettled()) {
             List<Order> onTheWay = new ArrayList<>();
             calls.forEach(call -> onTheWay.addAll(call.orders));
-            repeat(standing.settle(onTheWay, events), onTheWay);
+            repeat(snapshot.settle(onTheWay, events), onTheWay);
         }
     }
 
     /**
      * The relay may have taken these while their slices were another's, where they change nothing, or before another
-     * set their lines; the decisions are told them as standing. Those already sent are said once more, before what
+     * set their lines; the decisions are told them as snapshot. Those already sent are said once more, before what
      * waits; setting a line twice does no harm.
      */
     private void repeat(Set<Integer> given, List<Order> onTheWay) {
@@ -428,7 +428,7 @@
         private boolean up;
         private long heardAt;
         /** Until it has settled: what it has told, and the orders that it may not show. */
-        private Standing.Opening opening;
+        private RelaySnapshot.Opening opening;
         private final List<Order> sinceAsked = new ArrayList<>();
 
         void dial() {
--- a/src/main/java/puffinbarrow/platform/Standing.java
+++ b/src/main/java/puffinbarrow/platform/RelaySnapshot.java
@@ -15,14 +15,14 @@
  * as one: a slice without its lines would look like an orphan. A stream that follows another is an {@link Opening} of
  * its own meanwhile, and when it has settled only what differs is told.
  */
-final class Standing {
+final class RelaySnapshot {
     private final Translation words;
     private final TreeSet<Integer> joined = new TreeSet<>();
     private final TreeMap<Integer, TreeMap<String, Double>> slices = new TreeMap<>();
     /** Slices given whose lines may still be coming. */
     private final TreeMap<Integer, TreeMap<String, Double>> given = new TreeMap<>();
 
-    Standing(Translation words) {
+    RelaySnapshot(Translation words) {
         this.words = words;
     }
 
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -110,7 +110,7 @@
                 watchAt = now + WATCH_NS;
             }
             if (now >= secondAt) {
-                tally.second("proxies=" + relay.standing().proxies() + " slices=" + relay.standing().slices()
+                tally.second("proxies=" + relay.snapshot().proxies() + " slices=" + relay.snapshot().slices()
                         + " calls=" + relay.waiting());
                 secondAt = now + 1_000_000_000L;
             }
--- a/src/test/java/puffinbarrow/platform/StandingTest.java
+++ b/src/test/java/puffinbarrow/platform/RelaySnapshotTest.java
@@ -16,19 +16,19 @@
 import puffinbarrow.wire.Facts;
 
 /** What the relay's news becomes for the decisions, with gaps in it and orders on the way. */
-class StandingTest {
+class RelaySnapshotTest {
     private static final Facts.Names NAMES = new Facts.Names(List.of("a", "b"), List.of("m"), List.of("x", "y"), 10, 10);
 
-    private final Standing standing = new Standing(new Translation(NAMES, new Translation.Clock(0, 0)));
+    private final RelaySnapshot snapshot = new RelaySnapshot(new Translation(NAMES, new Translation.Clock(0, 0)));
     private final List<Event> out = new ArrayList<>();
 
     private void news(String... events) {
-        read(new EventStream(n -> standing.news(n.kind(), n.fields(), out)), events);
+        read(new EventStream(n -> snapshot.news(n.kind(), n.fields(), out)), events);
     }
 
     /** A stream of news that begins so, and settles. */
     private void opening(List<Order> onTheWay, boolean anew, String... events) {
-        Standing.Opening opening = standing.new Opening();
+        RelaySnapshot.Opening opening = snapshot.new Opening();
         read(new EventStream(n -> opening.news(n.kind(), n.fields(), out)), events);
         assertEquals(List.of(), out, "nothing is told before it is whole");
         opening.settle(onTheWay, anew, out);
@@ -62,7 +62,7 @@
     void aSliceGivenLaterIsToldWithItsLines() {
         news("owner range=3&flag=1", "entry range=3&target=s3&rps=0.5");
         assertEquals(List.of(), taken());
-        standing.settle(List.of(), out);
+        snapshot.settle(List.of(), out);
         assertEquals(List.of(new Event.SliceCharge(3, true), new Event.StoredLine(3, "s3", 0.5)), taken());
         news("owner range=3&flag=0", "done id=7&seq=905&ms=310.4", "detach id=7");
         assertEquals(List.of(new Event.SliceCharge(3, false), new Event.InForce(7, 905, 310_400_000),
@@ -71,7 +71,7 @@
 
     @Test
     void afterAGapOnlyWhatDiffersIsToldAgain() {
-        standing.took(new Order.SetLine(2, "s4", 0.03));
+        snapshot.took(new Order.SetLine(2, "s4", 0.03));
         String[] stands = {"attach id=7&site=b&rps=21.5&new=1", "owner range=2&flag=1", "entry range=2&target=s2&rps=1.0",
             "entry range=2&target=s4&rps=0.0300000001"};
         opening(List.of(), false, stands);
