--- a/src/main/java/puffinbarrow/platform/Collectors.java
+++ b/src/main/java/puffinbarrow/platform/Collectors.java
@@ -37,18 +37,18 @@
 
     private final Translation words;
     private final Sink sink;
-    private final Tally tally;
+    private final CounterRegistry counters;
     private final int most;
     private final Net net;
     /** Open streams in the order they came; both guarded by the first. */
     private final ArrayDeque<Stream> strangers = new ArrayDeque<>(), joined = new ArrayDeque<>();
 
     /** @param most strangers at a time: beyond, the oldest is turned away */
-    Collectors(Net net, Translation words, Sink sink, Tally tally, int most) {
+    Collectors(Net net, Translation words, Sink sink, CounterRegistry counters, int most) {
         this.net = net;
         this.words = words;
         this.sink = sink;
-        this.tally = tally;
+        this.counters = counters;
         this.most = most;
     }
 
@@ -111,7 +111,7 @@
             try {
                 reader.feed(bytes);
             } catch (RespException wrong) {
-                tally.note("streams.unreadable", wrong.getMessage());
+                counters.note("streams.unreadable", wrong.getMessage());
                 reject(wrong.getMessage());
             }
             if (full && !over) {
@@ -127,19 +127,19 @@
             }
             String kind = message.isEmpty() ? "" : message.get(0);
             if (kind.equals("hb")) {
-                tally.count("signs_of_life");
+                counters.count("signs_of_life");
                 link.send(RespWriter.array("hb_ok"));
             } else if (isJoined) {
                 try {
                     full |= !sink.offer(words.report(message));
                 } catch (ProtocolException spoilt) {
                     // The messages around it are sound, so the stream goes on.
-                    tally.note("reports.refused", spoilt.getMessage() + " in " + Translation.brief(message.toString()));
+                    counters.note("reports.refused", spoilt.getMessage() + " in " + Translation.brief(message.toString()));
                 }
             } else if (kind.equals("telemetry")) {
                 join(message);
             } else {
-                tally.note("streams.rejected", "first message " + Translation.brief(message.toString()));
+                counters.note("streams.rejected", "first message " + Translation.brief(message.toString()));
                 reject("a stranger may say hb or telemetry");
             }
         }
@@ -148,7 +148,7 @@
             try {
                 words.zone(Translation.fields(message));
             } catch (ProtocolException wrong) {
-                tally.note("streams.rejected", wrong.getMessage());
+                counters.note("streams.rejected", wrong.getMessage());
                 reject(wrong.getMessage());
                 return;
             }
@@ -162,7 +162,7 @@
                     oldest = joined.pollFirst();
                 }
             }
-            tally.count("collectors.joined");
+            counters.count("collectors.joined");
             if (oldest != null) {
                 oldest.link.close();
             }
@@ -170,7 +170,7 @@
 
         private void reject(String why) {
             over = true;
-            tally.count("streams.turned_away");
+            counters.count("streams.turned_away");
             Link open = link;
             if (open != null) {
                 open.send(RespWriter.array("reject", "why", why));
--- a/src/main/java/puffinbarrow/platform/Tally.java
+++ b/src/main/java/puffinbarrow/platform/CounterRegistry.java
@@ -12,7 +12,7 @@
  * logging library and a meter registry together would take a third of the least memory the platform gives. Lines are
  * bounded a second, and what is left out is counted.
  */
-final class Tally {
+final class CounterRegistry {
     /** Enough for the decisions' own words; a flood of bad clients says the rest by its counters. */
     private static final int LINES_PER_S = 40;
 
@@ -23,7 +23,7 @@
     private String told = "";
     private long seconds;
 
-    Tally(PrintStream out) {
+    CounterRegistry(PrintStream out) {
         this.out = out;
     }
 
--- a/src/main/java/puffinbarrow/platform/DiscoveryClient.java
+++ b/src/main/java/puffinbarrow/platform/DiscoveryClient.java
@@ -96,7 +96,7 @@
             }
             // From what was just told: asked before, the service would say the same again at once.
             ask(which, HOLD_MS);
-            host.tally().count("discovery.answers");
+            host.counters().count("discovery.answers");
         } catch (ProtocolException | IOException wrong) {
             follow(false);
             failed(wrong);
@@ -108,7 +108,7 @@
         if (listing.version() >= from) {
             return false;
         }
-        host.tally().note("discovery.began_anew", "generation " + listing.version() + " after " + from);
+        host.counters().note("discovery.began_anew", "generation " + listing.version() + " after " + from);
         version = 0;
         return true;
     }
@@ -123,7 +123,7 @@
     }
 
     private void failed(Exception wrong) {
-        host.tally().note("discovery.failed", wrong.getMessage());
+        host.counters().note("discovery.failed", wrong.getMessage());
         host.happened(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
     }
 
@@ -156,7 +156,7 @@
 
     private boolean take(Translation.Listing listing) {
         if (listing.version() < version) {
-            host.tally().count("discovery.older");
+            host.counters().count("discovery.older");
             return false;
         }
         version = listing.version();
--- a/src/main/java/puffinbarrow/platform/Host.java
+++ b/src/main/java/puffinbarrow/platform/Host.java
@@ -10,5 +10,5 @@
     /** On the decision thread: the next batch holds this event. */
     void happened(Event event);
 
-    Tally tally();
+    CounterRegistry counters();
 }
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -139,7 +139,7 @@
     private void queue(Call call) {
         if (calls.size() == CALLS) {
             // What was left out must not be believed: all that stands is read anew and told again.
-            host.tally().note("calls.overflowed", "the relay takes none; reading anew what stands");
+            host.counters().note("calls.overflowed", "the relay takes none; reading anew what stands");
             // All but the one that is out: its answer is still to come.
             while (calls.size() > 1) {
                 calls.pollLast();
@@ -173,7 +173,7 @@
     private void ended(Call call, HttpCaller.Ended ended) {
         out = false;
         if (ended.answer() == null) {
-            host.tally().note("calls.broken", ended.failure());
+            host.counters().note("calls.broken", ended.failure());
             if (!proved(call)) {
                 doubt(call, ended.sent());
             }
@@ -186,13 +186,13 @@
         } catch (ProtocolException unreadable) {
             caller.close();
             if (text.contains("BUSY")) {
-                host.tally().count("calls.busy");
+                host.counters().count("calls.busy");
                 again(call, call.pauseMs);
                 return;
             }
-            host.tally().note("calls.unreadable", unreadable.getMessage());
+            host.counters().note("calls.unreadable", unreadable.getMessage());
             if (text.contains("SYNTAX") && ++call.refusals >= REFUSALS) {
-                host.tally().note("calls.given_up", Translation.brief(call.texts.toString()));
+                host.counters().note("calls.given_up", Translation.brief(call.texts.toString()));
                 calls.pollFirst();
                 send();
                 return;
@@ -206,8 +206,8 @@
     }
 
     private void taken(Call call, int taken) {
-        host.tally().count("calls.taken");
-        host.tally().say("call orders=" + taken + " proxies=" + snapshot.proxies() + " "
+        host.counters().count("calls.taken");
+        host.counters().say("call orders=" + taken + " proxies=" + snapshot.proxies() + " "
                 + Translation.brief(String.join(";", call.texts)));
         call.orders.subList(0, taken).forEach(order -> {
             snapshot.took(order);
@@ -219,7 +219,7 @@
         if (taken == call.orders.size()) {
             calls.pollFirst();
         } else {
-            host.tally().note("orders.refused", call.texts.get(taken));
+            host.counters().note("orders.refused", call.texts.get(taken));
             call.orders.subList(0, taken + 1).clear();
             call.texts.subList(0, taken + 1).clear();
             if (call.orders.isEmpty()) {
@@ -249,7 +249,7 @@
     /** Whether a call that ended without an answer was proved taken while it was out. */
     private boolean proved(Call call) {
         if (call.proven) {
-            host.tally().count("calls.proved");
+            host.counters().count("calls.proved");
             taken(call, call.orders.size());
         }
         return call.proven;
@@ -325,7 +325,7 @@
                     snapshot.news(each.kind(), each.fields(), events);
                 }
             } catch (ProtocolException wrong) {
-                host.tally().note("news.refused", wrong.getMessage());
+                host.counters().note("news.refused", wrong.getMessage());
             }
         }
         events.forEach(this::heard);
@@ -359,10 +359,10 @@
             }
             stream = which;
             next = null;
-            host.tally().count("news.streams");
+            host.counters().count("news.streams");
             // Answers to marks that came in the gap are lost; unasked, the decisions would wait for them for ever.
             if (gap && lastMark >= 0 && calls.isEmpty() && answered.cardinality() < snapshot.proxies()) {
-                host.tally().count("marks.repeated");
+                host.counters().count("marks.repeated");
                 order(List.of(new Order.Mark(lastMark, true)));
             }
         } else if (snapshot.unsettled()) {
@@ -386,7 +386,7 @@
         if (again.isEmpty()) {
             return;
         }
-        host.tally().note("orders.repeated", again.size() + " whose slices went and came");
+        host.counters().note("orders.repeated", again.size() + " whose slices went and came");
         Call head = out ? calls.pollFirst() : null;
         calls(again).descendingIterator().forEachRemaining(calls::addFirst);
         if (head != null) {
@@ -400,14 +400,14 @@
 
     private void lost(NewsStream which, String why) {
         if (which == stream) {
-            host.tally().note("news.broken", why);
+            host.counters().note("news.broken", why);
             stream = null;
             deafSince = which.heardAt;
             if (next == null) {
                 listen();
             }
         } else if (which == next) {
-            host.tally().note("news.not_had", why);
+            host.counters().note("news.not_had", why);
             next = null;
             net.schedule(REDIAL_MS, () -> host.offer(() -> {
                 if (next == null && (stream == null || !stream.at.equals(to))) {
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -37,7 +37,7 @@
     private final Path file;
     /** As it was at the start. */
     private final Configuration config;
-    private final Tally tally;
+    private final CounterRegistry counters;
     private final Inbox<Runnable> inbox = new Inbox<>(INBOX);
     private final Net net;
     private final Controller controller;
@@ -56,12 +56,12 @@
 
     /** Reads the configuration and opens its sockets; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
-        this(file, factory, new Tally(System.out));
+        this(file, factory, new CounterRegistry(System.out));
     }
 
-    Service(Path file, Controller.Factory factory, Tally tally) throws IOException {
+    Service(Path file, Controller.Factory factory, CounterRegistry counters) throws IOException {
         this.file = file;
-        this.tally = tally;
+        this.counters = counters;
         Translation.Clock clock = Translation.Clock.now();
         Configuration config = Configuration.read(Files.readAllBytes(file), clock);
         Translation words = new Translation(config.names(), clock);
@@ -74,7 +74,7 @@
                 new Prober.Question("/-/load", answer -> Translation.probed(new String(answer.body()))));
         happened(new Event.ServerList(Event.ListKind.STALE_COPY, config.known().list().entries()));
         int strangers = Math.max(32, config.sockets() - OWN_HANDLES);
-        this.listener = new Collectors(net, words, new Reports(), tally, strangers).bind(config.listen());
+        this.listener = new Collectors(net, words, new Reports(), counters, strangers).bind(config.listen());
         this.config = config;
     }
 
@@ -86,7 +86,7 @@
 
         @Override
         public void stopped(Runnable resume) {
-            tally.count("inbox.overflows");
+            counters.count("inbox.overflows");
             inbox.stopped(resume);
         }
     }
@@ -98,7 +98,7 @@
         // Only then does anyone hear that it is up: what is known has been decided on, and all classes are loaded.
         decide(System.nanoTime());
         listener.accept();
-        tally.say("ready name=" + config.name() + " listen=" + Net.text(listener.address()) + " sockets="
+        counters.say("ready name=" + config.name() + " listen=" + Net.text(listener.address()) + " sockets="
                 + config.sockets() + " known=" + config.known().list().entries().size());
         long watchAt = System.nanoTime();
         long secondAt = watchAt;
@@ -110,7 +110,7 @@
                 watchAt = now + WATCH_NS;
             }
             if (now >= secondAt) {
-                tally.second("proxies=" + relay.snapshot().proxies() + " slices=" + relay.snapshot().slices()
+                counters.second("proxies=" + relay.snapshot().proxies() + " slices=" + relay.snapshot().slices()
                         + " calls=" + relay.waiting());
                 secondAt = now + 1_000_000_000L;
             }
@@ -155,7 +155,7 @@
             if (order instanceof Order.WakeAt o) {
                 timers.add(o);
             } else if (order instanceof Order.Log o) {
-                tally.say("decision " + o.text());
+                counters.say("decision " + o.text());
             } else if (order instanceof Order.Follow o) {
                 discovery.follow(o.on());
             } else if (order instanceof Order.FetchList) {
@@ -163,7 +163,7 @@
             } else if (order instanceof Order.Probe o) {
                 prober.probe(o.server(), probed -> offer(() -> happened(probed)));
             } else if (order instanceof Order.Bind || order instanceof Order.Tell) {
-                tally.note("orders.unsaid", "the platform has no word for " + order);
+                counters.note("orders.unsaid", "the platform has no word for " + order);
             } else {
                 forRelay.add(order);
             }
@@ -174,7 +174,7 @@
     }
 
     private void failed(long now, List<Event> events, RuntimeException failure) {
-        tally.note("decisions.failed", failure + " at " + List.of(failure.getStackTrace()).subList(0,
+        counters.note("decisions.failed", failure + " at " + List.of(failure.getStackTrace()).subList(0,
                 Math.min(6, failure.getStackTrace().length)) + " on " + events.size() + " events; what stands is left");
         // The decisions' own timer may have been lost with the batch.
         timers.add(new Order.WakeAt(now + WATCH_NS, 0));
@@ -196,15 +196,15 @@
         }
         try {
             Configuration fresh = Configuration.read(Files.readAllBytes(file), Translation.Clock.now());
-            tally.note("reloads", "discovery=" + Net.text(fresh.discovery()) + " relay=" + Net.text(fresh.relay()));
+            counters.note("reloads", "discovery=" + Net.text(fresh.discovery()) + " relay=" + Net.text(fresh.relay()));
             if (!fresh.settings().equals(config.settings()) || !fresh.names().equals(config.names())) {
-                tally.note("reloads.settings_kept", "settings changed too; they are taken up at a restart");
+                counters.note("reloads.settings_kept", "settings changed too; they are taken up at a restart");
             }
             discovery.moved(fresh.discovery());
             relay.moved(fresh.relay());
         } catch (IOException | RuntimeException wrong) {
             if (pauseMs == REREAD_MS) {
-                tally.note("reloads.refused", String.valueOf(wrong.getMessage()));
+                counters.note("reloads.refused", String.valueOf(wrong.getMessage()));
             }
             if (pauseMs <= MOST_REREAD_MS) {
                 net.schedule(pauseMs, () -> offer(() -> reload(which, 2 * pauseMs)));
@@ -227,8 +227,8 @@
     }
 
     @Override
-    public Tally tally() {
-        return tally;
+    public CounterRegistry counters() {
+        return counters;
     }
 
     /** Ends it from any thread; what the relay took stands. */
--- a/src/test/java/puffinbarrow/platform/RaceTest.java
+++ b/src/test/java/puffinbarrow/platform/RaceTest.java
@@ -48,11 +48,11 @@
         tell(relay.news.get(0), "done id=8&seq=41&ms=1.5");
         hears(new Event.InForce(8, 41, 1_500_000));
         call.close();
-        await(() -> tally.value("calls.broken") == 1);
+        await(() -> counters.value("calls.broken") == 1);
         order(new Order.Mask("s1", false));
         await(() -> relay.asked().size() == 2);
         assertTrue(relay.asked().get(1).endsWith("=restore,s1"), relay.asked().get(1));
-        assertEquals(1, tally.value("calls.proved"));
+        assertEquals(1, counters.value("calls.proved"));
     }
 
     @Test
@@ -66,7 +66,7 @@
         tell(relay.news.get(0), "done id=8&seq=41&ms=1.5");
         hears(new Event.InForce(8, 41, 1_500_000));
         call.send(reply(taken(2)));
-        await(() -> tally.value("calls.taken") == 1);
+        await(() -> counters.value("calls.taken") == 1);
         order(new Order.Mask("s1", false));
         await(() -> relay.asked().size() == 2);
         assertTrue(relay.asked().get(1).endsWith("=restore,s1"), relay.asked().get(1));
@@ -77,9 +77,9 @@
         relay.answers.clear();
         relay.answers.addAll(List.of("x", taken(1), taken(1)));
         start(List.of(new Order.Mask("s1", true), new Order.SetLine(1, "s9", 1), new Order.Mask("s2", true)));
-        await(() -> tally.value("calls.taken") == 2);
+        await(() -> counters.value("calls.taken") == 2);
         assertTrue(relay.asked().get(2).endsWith("changes=withdraw,s2"), relay.asked().get(2));
-        assertEquals(1, tally.value("orders.refused"));
+        assertEquals(1, counters.value("orders.refused"));
     }
 
     /** Orders left out must not be believed: after as many as may wait, all that stands is told anew. */
@@ -90,7 +90,7 @@
         relay.snapshot = PROXY + SLICE;
         start(List.of());
         hears(new Event.StoredLine(1, "s1", 1));
-        for (int i = 0; tally.value("calls.overflowed") == 0 && i < 1000; i++) {
+        for (int i = 0; counters.value("calls.overflowed") == 0 && i < 1000; i++) {
             order(new Order.SetLine(1, "s1", 1 + i));
             await(toOrder::isEmpty);
         }
@@ -98,7 +98,7 @@
         hears(JOINED);
         relay.answers.clear();
         relay.answers.add(taken(1));
-        await(() -> tally.value("calls.taken") >= 2);
+        await(() -> counters.value("calls.taken") >= 2);
         order(new Order.Mask("s1", true));
         await(() -> relay.asked().get(relay.asked().size() - 1).endsWith("=withdraw,s1"));
     }
@@ -166,9 +166,9 @@
         configure(moved);
         service.reload();
         service.reload();
-        await(() -> tally.value("reloads") == 2 && moved.streams() == 1);
+        await(() -> counters.value("reloads") == 2 && moved.streams() == 1);
         call.close();
-        await(() -> tally.value("calls.taken") == 1);
+        await(() -> counters.value("calls.taken") == 1);
         assertEquals(1, moved.asked().size());
         assertEquals(1, relay.asked().size());
     }
@@ -194,7 +194,7 @@
             }
             Files.writeString(folder.resolve("config.json"), configuration((InetSocketAddress) full.getLocalSocketAddress()));
             service.reload();
-            await(() -> tally.value("reloads") == 2);
+            await(() -> counters.value("reloads") == 2);
             configure(relay);
             service.reload();
             await(() -> relay.streams() == 2);
@@ -214,10 +214,10 @@
         String whole = configuration(moved.listener.address());
         Files.writeString(file, whole.substring(0, whole.length() / 2));
         service.reload();
-        await(() -> tally.value("reloads.refused") == 1);
+        await(() -> counters.value("reloads.refused") == 1);
         Files.writeString(file, whole);
         await(() -> moved.streams() == 1);
-        assertEquals(1, tally.value("reloads"));
+        assertEquals(1, counters.value("reloads"));
     }
 
     @Test
@@ -228,7 +228,7 @@
                 configuration(moved.listener.address()).replace("\"Ranges\":4", "\"Ranges\":5"));
         service.reload();
         await(() -> moved.streams() == 1);
-        assertEquals(1, tally.value("reloads.settings_kept"));
+        assertEquals(1, counters.value("reloads.settings_kept"));
     }
 
     // ---- Watches of the list.
@@ -296,7 +296,7 @@
         start(List.of(new Order.Follow(true)));
         hears(told(Event.ListKind.PATCH, "s1", Event.Listed.DRAINING));
         assertTrue(discovery.asked().get(1).contains("from=9&"), discovery.asked().get(1));
-        assertEquals(0, tally.value("discovery.failed"));
+        assertEquals(0, counters.value("discovery.failed"));
     }
 
     @Test
@@ -321,7 +321,7 @@
         hears(JOINED);
         first.send(ascii("HTTP/1.1 200 OK\r\ncontent-length: " + taken(1).length() + "\r\n\r\n" + taken(1)
                 + "HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n<?xml "));
-        await(() -> tally.value("calls.taken") == 1);
+        await(() -> counters.value("calls.taken") == 1);
         order(new Order.Mask("s1", false));
         assertNotSame(first, relay.taken());
     }
@@ -345,7 +345,7 @@
             watch = next.ended() ? discovery.taken() : next;
         }
         await(() -> system.getOpenFileDescriptorCount() <= before + 8);
-        assertEquals(0, tally.value("discovery.failed"));
+        assertEquals(0, counters.value("discovery.failed"));
     }
 
     // ---- Start.
@@ -374,12 +374,12 @@
         byte[] report = message("range_stats", "range", "1", "lane", "x", "count", "1", "fail", "0", "over", "1000");
         for (int i = 0; i < 9000; i++) {
             collector.getOutputStream().write(report);
-            if (tally.value("inbox.overflows") > 0) {
+            if (counters.value("inbox.overflows") > 0) {
                 break;
             }
         }
         collector.getOutputStream().write(message("range_stats", "range", "2", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
-        await(() -> tally.value("inbox.overflows") > 0);
+        await(() -> counters.value("inbox.overflows") > 0);
         flooded.countDown();
         hears(new Event.SliceDemand(2, 0, 1, 0, 1_000_000_000));
     }
--- a/src/test/java/puffinbarrow/platform/ServiceFixture.java
+++ b/src/test/java/puffinbarrow/platform/ServiceFixture.java
@@ -138,7 +138,7 @@
     Server relay;
     Server discovery;
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
-    final Tally tally = new Tally(new PrintStream(log, true));
+    final CounterRegistry counters = new CounterRegistry(new PrintStream(log, true));
     final BlockingQueue<Event> heard = new LinkedBlockingQueue<>();
     final ConcurrentLinkedQueue<List<Order>> toOrder = new ConcurrentLinkedQueue<>();
     Service service;
@@ -184,7 +184,7 @@
             heard.addAll(events);
             List<Order> next = toOrder.poll();
             return next == null ? List.of() : next;
-        }, tally);
+        }, counters);
         Thread thread = new Thread(service::run);
         thread.setDaemon(true);
         thread.start();
--- a/src/test/java/puffinbarrow/platform/ServiceTest.java
+++ b/src/test/java/puffinbarrow/platform/ServiceTest.java
@@ -27,7 +27,7 @@
         // Broken, busy, a count that can't be and silence: again. Then one taken: the second is left out.
         await(() -> relay.asked().equals(List.of(whole, whole, whole, whole, whole,
                 "/api/Action=CommitChanges&changes=withdraw,s1;admit,*,x,0.9,1")));
-        await(() -> tally.value("orders.refused") == 1);
+        await(() -> counters.value("orders.refused") == 1);
     }
 
     @Test
@@ -36,7 +36,7 @@
         relay.answers.addAll(List.of("", taken(1)));
         relay.snapshot = "event: attach\ndata: id=8&site=b&rps=2&new=0\n\n";
         start(List.of(new Order.Mask("s1", true), new Order.Mark(41, false)));
-        await(() -> tally.value("calls.broken") == 1);
+        await(() -> counters.value("calls.broken") == 1);
         relay.news.get(0).send(ascii(chunk("event: done\ndata: id=8&seq=41&ms=1.5\n\n")));
         hears(new Event.InForce(8, 41, 1_500_000));
         toOrder.add(List.of(new Order.Mask("s1", false)));
@@ -52,7 +52,7 @@
         relay.answers.add(taken(2));
         start(List.of(new Order.Mask("s1", true), new Order.Mark(41, true)));
         hears(new Event.ProxyJoined(8, false, 2, 1));
-        await(() -> tally.value("calls.taken") == 1);
+        await(() -> counters.value("calls.taken") == 1);
         relay.news.get(0).close();
         await(() -> relay.asked().size() > 1);
         assertTrue(relay.asked().get(1).endsWith("changes=mark,41,1"), relay.asked().get(1));
@@ -103,7 +103,7 @@
         start(List.of());
         Files.writeString(folder.resolve("config.json"), "{\"name\":\"n0\",\"listen\":");
         service.reload();
-        await(() -> tally.value("reloads.refused") == 1);
+        await(() -> counters.value("reloads.refused") == 1);
         toOrder.add(List.of(new Order.Mask("s1", true)));
         connect(message("telemetry", "site", "a")).getOutputStream()
                 .write(message("range_stats", "range", "1", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
@@ -116,7 +116,7 @@
         failing = true;
         OutputStream out = connect(message("telemetry", "site", "a")).getOutputStream();
         out.write(message("range_stats", "range", "1", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
-        await(() -> tally.value("decisions.failed") >= 1);
+        await(() -> counters.value("decisions.failed") >= 1);
         failing = false;
         out.write(message("range_stats", "range", "2", "lane", "x", "count", "1", "fail", "0", "over", "1000"));
         hears(new Event.SliceDemand(2, 0, 1, 0, 1_000_000_000));
@@ -137,7 +137,7 @@
             assertFalse(untilClosed(stranger).equals("open"));
         }
         assertTrue(untilClosed(sign).startsWith("*1\r\n$5\r\nhb_ok\r\n"));
-        assertEquals(11, tally.value("streams.turned_away"));
+        assertEquals(11, counters.value("streams.turned_away"));
         assertTrue(heard.stream().noneMatch(e -> e instanceof Event.SliceDemand));
     }
 
@@ -178,7 +178,7 @@
         out.write(message("nonsense"));
         out.write(message("range_stats", "range", "3", "lane", "x", "count", "2", "fail", "0", "over", "500"));
         hears(new Event.SliceDemand(3, 0, 2, 0, 500_000_000));
-        assertEquals(spoilt.length + 2, tally.value("reports.refused"));
+        assertEquals(spoilt.length + 2, counters.value("reports.refused"));
         out.write("garbage".getBytes());
         assertTrue(untilClosed(collector).contains("reject"));
     }
