--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -374,7 +374,7 @@
 
     /**
      * The relay may have taken these while their slices were another's, where they change nothing, or before another
-     * set their lines; the decisions are told them as snapshot. Those already sent are said once more, before what
+     * set their lines; the decisions are told them as standing. Those already sent are said once more, before what
      * waits; setting a line twice does no harm.
      */
     private void repeat(Set<Integer> given, List<Order> onTheWay) {
