--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -636,10 +636,11 @@
 
     /**
      * Guards fresh servers that nobody sends to, and that so never report: taken for as loaded as the mean they were
-     * left idle by all coordinators alike. It harms where sums are lost for so long: a loaded server looks idle.
+     * left idle by all coordinators alike. Lines of sums get lost, so one that carries a slice of ours is none. It
+     * harms where others load it and their lines are lost for so long: a loaded server looks idle.
      */
     private boolean unheard(Server server) {
-        return rounds >= 3 && now - server.heardAt > 4 * set.roundNs();
+        return rounds >= 3 && server.count < 0.5 && now - server.heardAt > 4 * set.roundNs();
     }
 
     // The design's weights: slices against report, and within slices count against demand.
@@ -859,13 +860,9 @@
         long at = -1;
         for (Server server : usable) {
             if (server.state == State.WELL && relative(server, server.demand) < 0.5) {
-                if (at != moves) {
-                    // One whose slices all moved of late has none to give, and must not hold up those that have.
-                    source = usable.stream().sorted(BY_SCORE.reversed()).filter(v -> !movable(v, hold).isEmpty())
-                            .findFirst().orElse(server);
-                    offered = movable(source, hold);
-                    at = moves;
-                }
+                source = at == moves ? source : usable.stream().max(BY_SCORE).orElseThrow();
+                offered = at == moves ? offered : movable(source, hold);
+                at = moves;
                 gain(server, source, offered);
             }
         }
