The module: idle is only a server that no sums ever named; the cycle's hold is for those alone

So on ageing fleets strain is everywhere and each move costs warm keys, and servers whose lines were lost for a while looked idle. Lines: unheard() by time, now idle() by whether sums ever named it; the hold in balance() is a cycle for those servers alone.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -92,8 +92,8 @@
         boolean pressed;
         double report = Double.NaN;
         long reportAt;
-        /** When sums named it last. */
-        long heardAt = Long.MIN_VALUE / 2;
+        /** Whether sums ever named it. */
+        boolean heard;
         /** Load placed here (or taken off) that no report shows yet, relative to the fleet's mean. */
         final Ring shift = new Ring(8, SECOND);
         /** Own placed load, worked out anew before each decision. */
@@ -378,7 +378,7 @@
         if (server == null) {
             return;
         }
-        server.heardAt = now;
+        server.heard = true;
         server.tries += sums.tries();
         server.dropped += sums.dropped();
         server.tookNs += (double) sums.tookNs() * Math.max(0, sums.tries() - sums.dropped());
@@ -627,7 +627,7 @@
             }
         }
         for (Server server : servers.values()) {
-            double report = Double.isNaN(server.report) ? unheard(server) ? 0 : 1 : server.report / usualReport;
+            double report = Double.isNaN(server.report) ? idle(server) ? 0 : 1 : server.report / usualReport;
             double count = server.count / room(server) * fleetSize / Math.max(1, mine);
             server.score = SLICE_PART * (COUNT_PART * count + DEMAND_PART * relative(server, server.demand))
                     + REPORT_PART * Math.max(0, report + server.shift.over(now, 4));
@@ -635,12 +635,12 @@
     }
 
     /**
-     * Guards fresh servers that nobody sends to, and that so never report: taken for as loaded as the mean they were
-     * left idle by all coordinators alike. Lines of sums get lost, so one that carries a slice of ours is none. It
-     * harms where others load it and their lines are lost for so long: a loaded server looks idle.
+     * Guards fresh servers that nobody sends to, and that so never report: taken for as loaded as the mean
+     * they were left idle by all coordinators alike. Lines of sums get lost, so one that carries a slice of
+     * ours is none. It harms where others load it and all its lines are lost so far: it looks idle.
      */
-    private boolean unheard(Server server) {
-        return rounds >= 3 && server.count < 0.5 && now - server.heardAt > 4 * set.roundNs();
+    private boolean idle(Server server) {
+        return rounds >= 3 && server.count < 0.5 && !server.heard;
     }
 
     // The design's weights: slices against report, and within slices count against demand.
@@ -852,16 +852,18 @@
         }
         List<Server> usable = servers.values().stream().filter(Server::usable).toList();
         // Looked for anew only once something moved: else each of many targets would cost a look at all.
-        // Guards a fleet most of which is replaced at once: its slices went to the few that stood, and would stay
-        // while the fresh ones idle. It harms where strain has another cause: each move costs warm keys.
-        long hold = strained ? CYCLE : HOLD;
         Server source = null;
         List<Slice> offered = List.of();
         long at = -1;
+        long hold = HOLD;
         for (Server server : usable) {
             if (server.state == State.WELL && relative(server, server.demand) < 0.5) {
+                // Guards a fleet most of which is replaced at once: its slices went to the few that stood,
+                // and would stay while the fresh idle. It harms where strain passes by itself: keys go cold.
+                long before = hold;
+                hold = strained && idle(server) ? CYCLE : HOLD;
                 source = at == moves ? source : usable.stream().max(BY_SCORE).orElseThrow();
-                offered = at == moves ? offered : movable(source, hold);
+                offered = at == moves && hold == before ? offered : movable(source, hold);
                 at = moves;
                 gain(server, source, offered);
             }
@@ -936,7 +938,8 @@
     private static final long HOLD = 20 * SECOND;
 
     private List<Slice> movable(Server source, long hold) {
-        return Arrays.stream(slices).filter(v -> v.mine && full(v, source.id) && now - v.movedAt > hold).toList();
+        return Arrays.stream(slices).filter(v -> v.mine && full(v, source.id)
+                && now - v.movedAt > hold).toList();
     }
 
     private void shift(Slice slice, Server from, Server to) {
