--- a/src/test/java/puffinbarrow/platform/RaceTest.java
+++ b/src/test/java/puffinbarrow/platform/RaceTest.java
@@ -37,8 +37,8 @@
 
     // ---- Repeated attempts.
 
-    @Test
-    void proofThatComesBeforeTheCallBreaksCounts() throws Exception {
+    /** A call that is out and has no answer yet, though its mark has come back. */
+    private Link callThatItsMarkProved() throws Exception {
         relay.answers.clear();
         relay.answers.addAll(List.of("hold", taken(1)));
         relay.snapshot = PROXY;
@@ -47,29 +47,28 @@
         hears(JOINED);
         tell(relay.news.get(0), "done id=8&seq=41&ms=1.5");
         hears(new Event.InForce(8, 41, 1_500_000));
-        call.close();
-        await(() -> counters.value("calls.broken") == 1);
+        return call;
+    }
+
+    private void theNextCallIsAnother() throws Exception {
         order(new Order.Mask("s1", false));
         await(() -> relay.asked().size() == 2);
         assertTrue(relay.asked().get(1).endsWith("=restore,s1"), relay.asked().get(1));
+    }
+
+    @Test
+    void proofThatComesBeforeTheCallBreaksCounts() throws Exception {
+        callThatItsMarkProved().close();
+        await(() -> counters.value("calls.broken") == 1);
+        theNextCallIsAnother();
         assertEquals(1, counters.value("calls.proved"));
     }
 
     @Test
     void anAnswerThatComesAfterItsProofIsTakenOnce() throws Exception {
-        relay.answers.clear();
-        relay.answers.addAll(List.of("hold", taken(1)));
-        relay.snapshot = PROXY;
-        start(List.of(new Order.Mask("s1", true), new Order.Mark(41, false)));
-        Link call = relay.taken();
-        hears(JOINED);
-        tell(relay.news.get(0), "done id=8&seq=41&ms=1.5");
-        hears(new Event.InForce(8, 41, 1_500_000));
-        call.send(reply(taken(2)));
+        callThatItsMarkProved().send(reply(taken(2)));
         await(() -> counters.value("calls.taken") == 1);
-        order(new Order.Mask("s1", false));
-        await(() -> relay.asked().size() == 2);
-        assertTrue(relay.asked().get(1).endsWith("=restore,s1"), relay.asked().get(1));
+        theNextCallIsAnother();
     }
 
     @Test
