--- a/src/test/java/puffinbarrow/platform/ServiceTest.java
+++ b/src/test/java/puffinbarrow/platform/ServiceTest.java
@@ -86,12 +86,13 @@
     @Test
     void aWatchThatFailsIsToldAndAskedForAnewWhenDecided() throws Exception {
         discovery.answers.clear();
-        discovery.answers.addAll(List.of("{\"generation\":9,\"reset\":true,\"instances\":[" + ENTRY + "]}", "{\"generation\":", "x",
+        discovery.answers.addAll(List.of("{\"generation\":9,\"reset\":true,\"instances\":[" + ENTRY + "]}", "hold", "x",
                 ""));
         start(List.of(new Order.Follow(true)));
         hears(new Event.ServerList(Event.ListKind.WHOLE,
                 List.of(new Event.Entry("s1", 0, 0, 3, Event.Listed.READY, 1.5, 0))));
         toOrder.add(List.of(new Order.Follow(true)));
+        discovery.taken().send(reply("{\"generation\":"));
         hears(new Event.ServerList(Event.ListKind.BROKEN, List.of()));
         await(() -> discovery.asked().size() >= 3);
         assertTrue(discovery.asked().get(0).endsWith("from=5&hold_ms=0"), discovery.asked().get(0));
