Review case 1: withdrawals of an earlier run are never lifted after a restart

Cause: after a restart only backends in the list or in lines at that moment have their lifted masks stated again; one that is away then keeps its withdrawal at every proxy for good, and is taken for well when it is listed again. Change: a case with its script.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec "$(dirname "$0")/../run-case.sh" StaleWithdrawals 1
