--- a/review/standin/review/Judge.java
+++ b/review/standin/review/Judge.java
@@ -21,6 +21,8 @@
     private final Map<String, Long> emptySinceMs = new HashMap<>();
     private final Set<String> emptyBroken = new HashSet<>();
     long longestEmptyMs;
+    /** By how much this thread was late: tells whether the machine kept up with the stand-ins. */
+    long longestLagMs;
     long longestDrainMs;
     int drainBreaches;
     final Set<String> drainBackends = new HashSet<>();
@@ -112,16 +114,18 @@
     /** Looks at every joined proxy's lines, some twenty times a second. */
     void watch() {
         while (true) {
+            long before = world.nowMs();
             World.sleep(50);
             synchronized (world) {
                 long now = world.nowMs();
+                longestLagMs = Math.max(longestLagMs, now - before - 50);
                 boolean warmListed = world.backends.values().stream()
                         .anyMatch(b -> b.running && b.listed.equals("SERVING") && b.warmth() >= 1);
                 for (Proxy proxy : world.proxies) {
                     for (int slice = 0; slice < world.sliceCount; slice++) {
                         String key = proxy.id + " " + slice;
                         Coordinator in = inCharge(proxy, slice);
-                        if (in == null || !warmListed || !proxy.usable(slice).isEmpty()) {
+                        if (in == null || !warmListed || proxy.hasUsable(slice)) {
                             emptySinceMs.remove(key);
                             continue;
                         }
@@ -158,7 +162,7 @@
             }
             world.say(String.format("cold backends: highest multiple of present capacity sent within the window %.2f of %.1f",
                     highestMultiple, world.fallMultiple));
-            world.say("crashes " + crashes);
+            world.say("crashes " + crashes + "; the stand-ins were late by " + longestLagMs + " ms at most");
         }
     }
 }
--- a/review/standin/review/Proxy.java
+++ b/review/standin/review/Proxy.java
@@ -70,6 +70,17 @@
         return withdrawn.computeIfAbsent(coordinator, c -> new HashSet<>());
     }
 
+    /** Whether it has a line of a slice that it may use now. */
+    boolean hasUsable(int slice) {
+        Set<String> out = withdrawals(world.owner[slice]);
+        for (String id : tables.get(slice).keySet()) {
+            if (!out.contains(id)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The lines of a slice that it may use now. */
     Map<String, Double> usable(int slice) {
         Map<String, Double> lines = new TreeMap<>(tables.get(slice));
--- a/review/standin/review/Relay.java
+++ b/review/standin/review/Relay.java
@@ -25,6 +25,8 @@
     /** Times of the messages written to each proxy since it joined. */
     private final Map<Integer, ArrayDeque<Long>> written = new HashMap<>();
     private long epoch;
+    /** Whether the coordinator has ended since its news last began. */
+    private boolean newLife;
     double waitingLines;
     double maxWaitingLines;
     int maxMessages;
@@ -71,6 +73,11 @@
                 }
                 streams.add(out);
                 write(out, state.toString());
+                if (newLife) {
+                    // To a coordinator that started anew all proxies join anew, and read the store within a second.
+                    newLife = false;
+                    world.proxies.forEach(this::readStoreSoon);
+                }
                 world.log("relay: news for " + coordinator.name + " begin");
             }
             while (socket.getInputStream().read() >= 0) {
@@ -191,6 +198,21 @@
         proxy.joinedAtMs.put(coordinator.number, world.nowMs());
         written.remove(proxy.id);
         news(attach(proxy));
+        readStoreSoon(proxy);
+    }
+
+    /** A proxy that joins reads its slices from the store within a second. */
+    private void readStoreSoon(Proxy proxy) {
+        World.after(world.syncMs, () -> {
+            synchronized (world) {
+                for (int slice = 0; slice < world.sliceCount; slice++) {
+                    if (world.owner[slice] == coordinator.number
+                            && proxy.joinedAtMs.containsKey(coordinator.number)) {
+                        proxy.readStore(slice);
+                    }
+                }
+            }
+        });
     }
 
     /** A proxy's stream breaks: what waits or travels for it is lost; it keeps what it holds. */
@@ -210,6 +232,7 @@
     void coordinatorDied() {
         synchronized (world) {
             epoch++;
+            newLife = true;
             channel.clear();
             waitingLines = 0;
             streams.clear();
