--- a/review/standin/review/Case.java
+++ b/review/standin/review/Case.java
@@ -94,12 +94,12 @@
     }
 
     /** Plays a script and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. */
-    static void run(Path folder, Path temporary, Consumer<World> site, int coordinators, Script script) {
+    static void run(Path record, Path temporary, Consumer<World> site, int coordinators, Script script) {
         int code = 2;
         World world = null;
         World.after(117_000, () -> Runtime.getRuntime().halt(2));
         try {
-            world = new World(folder.resolve("record.txt"));
+            world = new World(record);
             World mine = world;
             Runtime.getRuntime().addShutdownHook(new Thread(() -> mine.coordinators.forEach(Coordinator::end)));
             site.accept(world);
