Masks of an earlier run are lifted for servers heard of only later

Cause: proxies keep masks when the coordinator restarts; Logic ordered the state again only for the servers known when a proxy joined. Evidence: the record has withdraw at 7.0 to 7.2 s, restore at 10.5 s for the twelve servers of the known list, and none for the four listed again at 16.0 s, though the log shows them chosen for moves. The same held for proxies that return after the third round of sums or leave before they acknowledge.

Change: MaskTracker keeps by proxy the latest push that left it with all masks as ordered; a returning proxy is told of the servers whose state was ordered later or never, and once one has returned a server that becomes known has its state ordered. This works because the only way a mask can outlive the knowledge of it is a proxy that returns.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -267,10 +267,12 @@
      * A batch of orders sent to all proxies that not every proxy has acknowledged yet.
      *
      * @param mark number that the acknowledgements name
+     * @param maskState number of the push at the mask tracker
      * @param linesPerProxy size of the message to each proxy, its overhead included, in lines
      * @param unacknowledged proxies that have not acknowledged it
      */
-    private record Push(int mark, long sentAtNs, double linesPerProxy, TreeSet<Integer> unacknowledged) {}
+    private record Push(
+            int mark, long sentAtNs, long maskState, double linesPerProxy, TreeSet<Integer> unacknowledged) {}
 
     private final Settings settings;
     private final long seed;
@@ -284,12 +286,7 @@
     private final TreeMap<String, Server> servers = new TreeMap<>();
     private final Slice[] slices;
     private final TreeSet<Integer> joinedProxies = new TreeSet<>();
-    /** Servers whose mask has been ordered and not lifted. */
-    private final TreeSet<String> sentMasks = new TreeSet<>();
-    /** Servers whose mask, or the absence of one, is to be ordered again. */
-    private final TreeSet<String> masksToRestate = new TreeSet<>();
-
-    private final TreeSet<String> everMasked = new TreeSet<>();
+    private final MaskTracker maskTracker = new MaskTracker();
 
     /** Unacknowledged pushes, oldest first. */
     private final ArrayDeque<Push> pushes = new ArrayDeque<>();
@@ -376,18 +373,13 @@
             if (e.weight() > 0) {
                 slice(e.slice()).desired.put(e.server(), e.weight());
                 slice(e.slice()).sent.put(e.server(), e.weight());
-                servers.computeIfAbsent(e.server(), Server::new);
+                server(e.server());
             }
         } else if (event instanceof Event.ProxyJoined e) {
             joinedProxies.add(e.proxy());
-            // A proxy that was connected before may hold masks from an earlier connection or an earlier run of this
-            // coordinator that are no longer known here. A stale mask could leave one of its slices without a usable
-            // server, so all masks are stated again, lifted ones included.
             levelsDue = decisionDue = true;
-            servers.values().stream()
-                    .filter(server -> sentMasks.contains(server.id))
-                    .forEach(server -> server.maskRequiredSinceNs = nowNs);
-            masksToRestate.addAll(e.fresh() ? sentMasks : rounds < START_ROUNDS ? servers.keySet() : everMasked);
+            maskTracker.ordered().forEach(id -> servers.get(id).maskRequiredSinceNs = nowNs);
+            maskTracker.proxyJoined(e.proxy(), e.fresh(), servers.keySet());
         } else if (event instanceof Event.ProxyLeft e) {
             joinedProxies.remove(e.proxy());
             acknowledge(e.proxy(), -1);
@@ -447,6 +439,14 @@
         return remembered;
     }
 
+    /** Returns the server with the given id, which becomes known if it is not yet. */
+    private Server server(String id) {
+        return servers.computeIfAbsent(id, newId -> {
+            maskTracker.serverAppeared(newId);
+            return new Server(newId);
+        });
+    }
+
     /** Returns the slice with the given number, or a throw-away one if the number is out of range. */
     private Slice slice(int number) {
         return number >= 0 && number < slices.length ? slices[number] : new Slice(number);
@@ -476,7 +476,7 @@
 
     private void applyEntry(Event.Entry entry) {
         boolean known = servers.containsKey(entry.server());
-        Server server = servers.computeIfAbsent(entry.server(), Server::new);
+        Server server = server(entry.server());
         long previousStartNs = server.startedNs;
         if (entry.listed() == Listed.GONE) {
             delist(server);
@@ -581,7 +581,7 @@
         slice.desired.clear();
         slice.sent.clear();
         levelsDue |= charge.given();
-        masksToRestate.addAll(sentMasks);
+        maskTracker.restateOrdered();
         decisionDue = true;
     }
 
@@ -592,10 +592,11 @@
      */
     private void acknowledge(int proxy, int upTo) {
         boolean known = upTo < 0 || pushes.stream().anyMatch(push -> push.mark == upTo);
-        pushes.stream()
-                .takeWhile(push -> known && push.mark != upTo)
-                .forEach(push -> push.unacknowledged.remove(proxy));
-        pushes.stream().filter(push -> push.mark == upTo).forEach(push -> push.unacknowledged.remove(proxy));
+        Stream.concat(
+                        pushes.stream().takeWhile(push -> known && push.mark != upTo),
+                        pushes.stream().filter(push -> push.mark == upTo))
+                .filter(push -> push.unacknowledged.remove(proxy) && upTo >= 0)
+                .forEach(push -> maskTracker.acknowledged(proxy, push.maskState));
         pushes.removeIf(push -> push.unacknowledged.isEmpty());
     }
 
@@ -1320,10 +1321,10 @@
         double maxWeight = slice.sent.values().stream().max(Double::compare).orElse(0.0);
         List<Server> lines = slice.sent.keySet().stream().map(servers::get).toList();
         boolean allMaskedOrLeaving =
-                lines.stream().allMatch(server -> server.leaving() || sentMasks.contains(server.id));
+                lines.stream().allMatch(server -> server.leaving() || maskTracker.isOrdered(server.id));
         boolean primaryMasked =
                 lines.stream().anyMatch(server -> server.masked() && slice.sent.get(server.id) > maxWeight / 2);
-        boolean delaysMask = lines.stream().anyMatch(server -> server.leaving() && !sentMasks.contains(server.id));
+        boolean delaysMask = lines.stream().anyMatch(server -> server.leaving() && !maskTracker.isOrdered(server.id));
         long unmasked = lines.stream().filter(server -> !server.masked()).count();
         return unmasked == 0 && (allMaskedOrLeaving || delaysMask)
                 ? URGENCY_UNREACHABLE
@@ -1347,12 +1348,12 @@
                 .toList();
         List<Server> masks = servers.values().stream()
                 .filter(server -> server.masked()
-                        && (masksToRestate.contains(server.id) || !sentMasks.contains(server.id))
+                        && (maskTracker.needsRestating(server.id) || !maskTracker.isOrdered(server.id))
                         && !hasNoLine(server.id))
-                .sorted(Comparator.comparing(server -> sentMasks.contains(server.id)))
+                .sorted(Comparator.comparing(server -> maskTracker.isOrdered(server.id)))
                 .toList();
-        TreeSet<String> lifted = new TreeSet<>(sentMasks);
-        lifted.addAll(masksToRestate);
+        TreeSet<String> lifted = new TreeSet<>(maskTracker.ordered());
+        lifted.addAll(maskTracker.toRestate());
         lifted.removeIf(id -> servers.get(id).masked());
         // Only a server that left and a slice without a usable line are subject to a deadline; an ILL server is not.
         boolean urgent = masks.stream().anyMatch(Server::leaving)
@@ -1440,10 +1441,9 @@
                 .forEach(this::sendPrimary);
         // The mask of a server that serves again could delay the mask of one that left, so lifting it comes first.
         for (String id : lifted) {
-            if (orders.size() < (sentMasks.contains(id) ? limit : before + ordinaryLines)) {
+            if (orders.size() < (maskTracker.isOrdered(id) ? limit : before + ordinaryLines)) {
                 orders.add(new Order.Mask(id, false));
-                sentMasks.remove(id);
-                masksToRestate.remove(id);
+                maskTracker.state(id, false);
             }
         }
         // A mask that would leave a slice unreachable waits for the slice's new line, but where the channel is full no
@@ -1457,9 +1457,7 @@
             if (server.leaving() && nowNs - server.maskRequiredSinceNs > settings.graceNs() / 6
                     || !leavesUnreachable(server.id)) {
                 orders.add(new Order.Mask(server.id, true));
-                sentMasks.add(server.id);
-                everMasked.add(server.id);
-                masksToRestate.remove(server.id);
+                maskTracker.state(server.id, true);
             }
         }
         due.stream()
@@ -1473,7 +1471,9 @@
             // overhead for each proxy where a push would have reached none.
             orders.add(new Order.Mark(mark, true));
             double linesPerProxy = settings.messageOverheadLines() + orders.size() - before + levelLines;
-            pushes.addLast(new Push(mark, nowNs, linesPerProxy, new TreeSet<>(joinedProxies)));
+            // A masked server without a line is not stated: nothing is sent there.
+            long maskState = maskTracker.pushed(id -> servers.get(id).masked() && hasNoLine(id));
+            pushes.addLast(new Push(mark, nowNs, maskState, linesPerProxy, new TreeSet<>(joinedProxies)));
             pushTimesNs.addLast(nowNs);
             lastPushNs = nowNs;
         }
@@ -1494,7 +1494,7 @@
     private void sendSlice(Slice slice, boolean withMasked) {
         slice.desired.forEach((id, weight) -> sendLine(slice, id, weight));
         List.copyOf(slice.sent.keySet()).stream()
-                .filter(id -> !slice.desired.containsKey(id) && (withMasked || !sentMasks.contains(id)))
+                .filter(id -> !slice.desired.containsKey(id) && (withMasked || !maskTracker.isOrdered(id)))
                 .forEach(id -> sendLine(slice, id, 0));
     }
 
@@ -1514,7 +1514,7 @@
                         .anyMatch(slice -> slice.owned
                                 && slice.sent.containsKey(id)
                                 && slice.sent.keySet().stream()
-                                        .allMatch(other -> other.equals(id) || sentMasks.contains(other)));
+                                        .allMatch(other -> other.equals(id) || maskTracker.isOrdered(other)));
     }
 
     /**
