Pushes are spread so that the message limit always leaves one for a drain

Cause: urgent pushes followed each other every 200 ms until eleven of twelve messages in 10 s were used, whatever the grace; the next drain waited until the first message was 10 s old. Evidence: the record has calls up to 5.9 s and none until 10.7 s, while the log shows six drains taken in between; the channel held 2,430 of 18,000 lines, so it was not that.

Change: MessageBudget lets a push go only if one could then go in every third of the grace. A tick is brought forward to the time when a waiting urgent push may go, in place of a decision at every event. By induction no urgent push waits longer than the interval.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -290,8 +290,8 @@
 
     /** Unacknowledged pushes, oldest first. */
     private final ArrayDeque<Push> pushes = new ArrayDeque<>();
-    /** Times of the pushes within the span over which messages are counted. */
-    private final ArrayDeque<Long> pushTimesNs = new ArrayDeque<>();
+    /** Messages written to each proxy; a push is one. */
+    private final MessageBudget messages;
 
     private boolean levelsDue = true;
     /** Whether to decide in this call without waiting for the tick. */
@@ -321,6 +321,7 @@
         this.settings = settings;
         this.seed = seed;
         nextFollowNs = settings.listOnRequest() ? Long.MIN_VALUE : Long.MAX_VALUE;
+        messages = messageBudget(settings);
         slices = new Slice[Math.max(0, settings.slices())];
         for (int i = 0; i < slices.length; i++) {
             slices[i] = new Slice(i);
@@ -348,11 +349,13 @@
             judgeHealth();
         }
         followIfDue();
-        if (this.nowNs >= nextTickNs || decisionDue) {
+        boolean tickDue = nowNs >= nextTickNs;
+        nextTickNs = tickDue ? nowNs + TICK_PERIOD_NS : nextTickNs;
+        long plannedTickNs = nextTickNs;
+        if (tickDue || decisionDue) {
             decide();
         }
-        if (this.nowNs >= nextTickNs) {
-            nextTickNs = this.nowNs + TICK_PERIOD_NS;
+        if (tickDue || nextTickNs < plannedTickNs) {
             orders.add(new Order.WakeAt(nextTickNs, 0));
         }
         return orders;
@@ -1389,25 +1392,45 @@
         double worthwhileLines = urgent
                 ? Math.min(masks.size() + unreachable, 0.4 * maxLines)
                 : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * maxLines);
-        if (!mayPush(urgent) || lines < worthwhileLines && !pushes.isEmpty()) {
+        long nextPushNs = nextPushNs(urgent);
+        if (nowNs < nextPushNs) {
+            nextTickNs = urgent ? Math.min(nextTickNs, nextPushNs) : nextTickNs;
+            return;
+        }
+        if (lines < worthwhileLines && !pushes.isEmpty()) {
             decisionDue |= urgent;
             return;
         }
         send(due, masks, lifted, lines, lines - (share - ordinaryShare) * settings.queueLimitLines() / proxies);
     }
 
-    /** Whether the interval since the last push and the limit on messages allow a push. */
-    private boolean mayPush(boolean urgent) {
-        // Ordinary pushes: without a limit on messages four a second, with one at half the rate it allows.
-        long gapNs =
-                settings.messagesAllowed() > 0 ? 2 * settings.messagesSpanNs() / settings.messagesAllowed() : 250 * MS;
-        while (!pushTimesNs.isEmpty() && nowNs - pushTimesNs.peekFirst() > settings.messagesSpanNs()) {
-            pushTimesNs.pollFirst();
+    private static final long MIN_PUSH_GAP_NS = 250 * MS;
+    private static final long MIN_URGENT_PUSH_GAP_NS = 200 * MS;
+
+    /**
+     * Of the messages allowed a tenth, at least one, stays in reserve, as the host may send a message twice. A push is
+     * always possible within a third of the grace period; the rest is needed for the queue and the delivery.
+     */
+    private static MessageBudget messageBudget(Settings settings) {
+        int reserve = Math.max(1, settings.messagesAllowed() / 10);
+        int allowed = Math.max(1, settings.messagesAllowed() - reserve);
+        long intervalNs = Math.max(settings.graceNs() / 3, settings.messagesSpanNs() / allowed);
+        return new MessageBudget(settings.messagesSpanNs(), allowed, intervalNs);
+    }
+
+    /** Returns when the interval since the last push and the limit on messages allow a push. */
+    private long nextPushNs(boolean urgent) {
+        if (settings.messagesAllowed() == 0) {
+            return lastPushNs + (urgent ? MIN_URGENT_PUSH_GAP_NS : MIN_PUSH_GAP_NS);
+        }
+        if (urgent) {
+            return Math.max(lastPushNs + MIN_URGENT_PUSH_GAP_NS, messages.nextNs());
+        }
+        // Ordinary pushes get half of the allowed messages, at half the rate that the limit allows.
+        if (messages.count(nowNs) >= settings.messagesAllowed() / 2.0) {
+            return Long.MAX_VALUE;
         }
-        // Of the allowed messages half is kept for drains and orphaned slices, and of that a tenth of all in reserve.
-        return nowNs - lastPushNs >= (urgent ? 200 * MS : gapNs)
-                && (settings.messagesAllowed() == 0
-                        || pushTimesNs.size() < settings.messagesAllowed() * (urgent ? 0.9 : 0.5));
+        return Math.max(lastPushNs + 2 * settings.messagesSpanNs() / settings.messagesAllowed(), messages.nextNs());
     }
 
     /** Lines that the latest levels took in a push. */
@@ -1474,7 +1497,7 @@
             // A masked server without a line is not stated: nothing is sent there.
             long maskState = maskTracker.pushed(id -> servers.get(id).masked() && hasNoLine(id));
             pushes.addLast(new Push(mark, nowNs, maskState, linesPerProxy, new TreeSet<>(joinedProxies)));
-            pushTimesNs.addLast(nowNs);
+            messages.add(nowNs);
             lastPushNs = nowNs;
         }
     }
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -20,7 +20,8 @@
 
     static final List<Group> GROUPS = List.of(new Group(1, SECOND), new Group(2, SECOND), new Group(3, SECOND));
 
-    private static final long STEP_NS = SECOND / 4;
+    static final long STEP_NS = SECOND / 4;
+    static final long GRACE_NS = 2 * SECOND;
     private static final long SEED = 7;
 
     long nowNs = 100 * SECOND;
@@ -66,7 +67,7 @@
                 messagesAllowed,
                 10 * SECOND,
                 SECOND,
-                2 * SECOND,
+                GRACE_NS,
                 16 * SECOND,
                 0.2,
                 3,
@@ -90,7 +91,7 @@
                 0,
                 10 * SECOND,
                 SECOND,
-                2 * SECOND,
+                GRACE_NS,
                 16 * SECOND,
                 0.2,
                 3,
