Repeated calls and other extra messages count against the limit

Cause: RelayClient makes calls again, splits them and repeats marks and lines of slices; each is a message to every proxy, and Logic counted its own pushes only. Nothing held the limit for serve, as PacedChannel does for the daemon.

Change: each such message is reported to the decisions (Event.ExtraMessage), and MessageWindow holds back a call that could pass the limit, counted from the end of calls that may have been taken.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -390,6 +390,8 @@
             applyProbe(e);
         } else if (event instanceof Event.Recalled e) {
             applyRecalled(e);
+        } else if (event instanceof Event.ExtraMessage) {
+            messages.add(nowNs);
         } else if (event instanceof Event.InForce e) {
             acknowledge(e.proxy(), e.mark());
         }
--- a/src/main/java/puffinbarrow/control/Event.java
+++ b/src/main/java/puffinbarrow/control/Event.java
@@ -121,6 +121,12 @@
      */
     record Recalled(Recall kind, String server, double value, double confidence) implements Event {}
 
+    /**
+     * The host sent the proxies a message besides those that orders brought about, such as a message sent twice because
+     * it was not certain whether the first one had been taken.
+     */
+    record ExtraMessage() implements Event {}
+
     /**
      * A proxy has applied all orders up to an {@link Order.Mark}.
      *
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.control.Settings;
 import puffinbarrow.net.HttpCaller;
 import puffinbarrow.net.HttpParser;
 import puffinbarrow.net.Link;
@@ -74,6 +75,8 @@
 
     private static final long RECONNECT_PAUSE_MS = 100;
     private static final int MAX_STREAM_SEND_BYTES = 4096;
+    private static final long MS_NS = 1_000_000;
+    private static final long SECOND_NS = 1_000_000_000;
 
     /** A call with its orders; the two lists run in parallel. */
     private static final class Call {
@@ -86,8 +89,10 @@
         boolean maybeAccepted;
         /** Whether its mark was acknowledged, which proves that it was accepted. */
         boolean acknowledged;
-        /** Whether it waits for its repetition. */
+        /** Whether it waits for its repetition, or for the limit on messages. */
         boolean pausing;
+        /** Whether the controller does not know of the message that sending it would bring about. */
+        boolean extraMessage = true;
 
         long pauseMs = MIN_RETRY_PAUSE_MS;
     }
@@ -117,8 +122,11 @@
     /** Time that a full channel takes to drain: after a longer gap in the events it holds nothing from before. */
     private final long channelDrainNs;
 
-    RelayClient(Net net, EventLoop loop, PlatformCodec codec, InetSocketAddress relay, long channelDrainNs) {
-        this.channelDrainNs = channelDrainNs;
+    private final MessageWindow messageWindow;
+
+    RelayClient(Net net, EventLoop loop, PlatformCodec codec, InetSocketAddress relay, Settings settings) {
+        this.channelDrainNs = (long) (settings.queueLimitLines() / Math.max(1, settings.linesPerS()) * SECOND_NS);
+        this.messageWindow = new MessageWindow(settings.messagesAllowed(), settings.messagesSpanNs());
         this.net = net;
         this.loop = loop;
         this.codec = codec;
@@ -151,7 +159,10 @@
 
     /** Sends the orders of one batch as one call, or as several if they are too long for one. */
     void submit(List<Order> orders) {
-        splitIntoCalls(orders).forEach(this::enqueue);
+        Deque<Call> split = splitIntoCalls(orders);
+        // The controller counts one message for the orders of a batch.
+        split.peekFirst().extraMessage = false;
+        split.forEach(this::enqueue);
         sendNext();
     }
 
@@ -200,7 +211,18 @@
             return;
         }
         Call call = calls.peekFirst();
+        long waitNs = messageWindow.waitNs(System.nanoTime());
+        if (waitNs > 0) {
+            loop.counters().increment("calls.held_back");
+            pause(call, waitNs / MS_NS + 1);
+            return;
+        }
         busy = true;
+        if (call.extraMessage) {
+            call.extraMessage = false;
+            loop.counters().increment("messages.extra");
+            loop.enqueue(new Event.ExtraMessage());
+        }
         // The URL-encoded body is plain ASCII, so its length in characters is its length in bytes.
         String body = "Action=CommitChanges&changes="
                 + URLEncoder.encode(String.join(";", call.texts), StandardCharsets.UTF_8);
@@ -218,6 +240,9 @@
         busy = false;
         if (result.answer() == null) {
             loop.counters().incrementAndLog("calls.broken", result.failure());
+            if (result.maybeDelivered()) {
+                messageWindow.add(System.nanoTime());
+            }
             if (!acceptIfAcknowledged(call)) {
                 retryUnanswered(call, result.maybeDelivered());
             }
@@ -234,6 +259,7 @@
                 retryAfter(call, call.pauseMs);
                 return;
             }
+            messageWindow.add(System.nanoTime());
             loop.counters().incrementAndLog("calls.unreadable", unreadable.getMessage());
             if (text.contains("SYNTAX") && ++call.syntaxErrors >= MAX_SYNTAX_ERRORS) {
                 loop.counters().incrementAndLog("calls.given_up", PlatformCodec.abbreviate(call.texts.toString()));
@@ -246,6 +272,7 @@
             }
             return;
         }
+        messageWindow.add(System.nanoTime());
         handleAccepted(call, accepted);
     }
 
@@ -271,6 +298,7 @@
             loop.counters().incrementAndLog("orders.refused", call.texts.get(accepted));
             call.orders.subList(0, accepted + 1).clear();
             call.texts.subList(0, accepted + 1).clear();
+            call.extraMessage = accepted > 0;
             if (call.orders.isEmpty()) {
                 calls.pollFirst();
             }
@@ -281,11 +309,17 @@
     /** Repeats a call without a readable answer; if it was sent, only after its mark could have been acknowledged. */
     private void retryUnanswered(Call call, boolean sent) {
         call.maybeAccepted |= sent;
+        call.extraMessage |= sent;
         retryAfter(call, sent ? ACKNOWLEDGEMENT_WAIT_MS : call.pauseMs);
     }
 
     private void retryAfter(Call call, long pauseMs) {
         call.pauseMs = Math.min(MAX_RETRY_PAUSE_MS, call.pauseMs * 2);
+        pause(call, pauseMs);
+    }
+
+    /** Sends the first call, which is this one, again after a pause; no other call is sent meanwhile. */
+    private void pause(Call call, long pauseMs) {
         call.pausing = busy = true;
         net.schedule(
                 pauseMs,
@@ -425,7 +459,8 @@
             // Acknowledgements sent during the gap are lost, and the controller would wait for them for ever.
             if (gap && lastMark >= 0 && calls.isEmpty() && acknowledgedBy.cardinality() < snapshot.proxyCount()) {
                 loop.counters().increment("marks.repeated");
-                submit(List.of(new Order.Mark(lastMark, true)));
+                splitIntoCalls(List.of(new Order.Mark(lastMark, true))).forEach(this::enqueue);
+                sendNext();
             }
         } else if (snapshot.hasPendingSlices()) {
             List<Order> inFlight = new ArrayList<>();
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -80,10 +80,7 @@
         PlatformCodec codec = new PlatformCodec(config.names(), clock);
         this.net = new Net("serve", 1);
         this.controller = factory.start(config.settings(), config.seed());
-        this.relay = new RelayClient(
-                net, this, codec, config.relay(), (long) (config.settings().queueLimitLines()
-                        / Math.max(1, config.settings().linesPerS())
-                        * 1e9));
+        this.relay = new RelayClient(net, this, codec, config.relay(), config.settings());
         this.discovery = new DiscoveryClient(net, this, codec, config.discovery(), config.known());
         this.prober = new Prober(
                 net,
--- a/src/test/java/puffinbarrow/DrainPacingTest.java
+++ b/src/test/java/puffinbarrow/DrainPacingTest.java
@@ -1,5 +1,6 @@
 package puffinbarrow;
 
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static puffinbarrow.FakeHost.SECOND;
 
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import puffinbarrow.control.Event;
 import puffinbarrow.control.Event.Listed;
 
 /** Where messages to proxies are limited, each drain is ordered in time and the limit is kept. */
@@ -68,7 +70,27 @@
         run(host, 10, allowed);
     }
 
-    /** Guards against the same after any mixture of drains, pauses and returns. */
+    /** Guards against repeated calls of the host that pass the limit together with the pushes. */
+    @Test
+    void messagesThatTheHostRepeatsCountAgainstTheLimit() {
+        FakeHost host = new FakeHost(FakeHost.settings(56, false, 12));
+        host.start(56, 56);
+        run(host, 2, 12);
+        for (int i = 0; i < 48; i++) {
+            if (i % 12 == 0) {
+                host.queue(new Event.ExtraMessage());
+                pushTimesNs.add(host.nowNs);
+            }
+            host.list("s" + i, Listed.DRAINING, 0);
+            run(host, 0.25, 12);
+        }
+        run(host, 10, 12);
+        for (int i = 0; i < 48; i++) {
+            assertFalse(canBeSentTo(host, "s" + i));
+        }
+    }
+
+    /** Guards against drains that wait out the limit after any mixture of drains, pauses and returns. */
     @Test
     void drainsAtRandomTimesAreOrderedInTime() {
         for (int seed = 0; seed < 20; seed++) {
--- a/src/test/java/puffinbarrow/platform/ServiceFixture.java
+++ b/src/test/java/puffinbarrow/platform/ServiceFixture.java
@@ -188,6 +188,9 @@
         net.close();
     }
 
+    /** Domain settings besides those of all tests, as the end of a JSON object. */
+    String domainSettings = "";
+
     /** Writes the configuration file, with the given relay. */
     void configure(StubServer relayServer) throws IOException {
         Files.writeString(folder.resolve("config.json"), configuration(relayServer.listener.address()));
@@ -201,7 +204,8 @@
                 + Net.formatAddress(relayServer) + "\"},\"known\":{\"generation\":5,\"reset\":true,\"instances\":["
                 + ENTRY
                 + "]},\"settings\":{\"Zones\":[\"a\",\"b\"],\"Models\":[\"m\"],\"Discovery\":\"ask\",\"RequestClasses\":[{\"Name\":\"x\","
-                + "\"AimNs\":1,\"Importance\":1}],\"Domain\":{\"Ranges\":4,\"ProxyCount\":9,\"Backlog\":100,\"EgressPerS\":100}}}";
+                + "\"AimNs\":1,\"Importance\":1}],\"Domain\":{\"Ranges\":4,\"ProxyCount\":9,\"Backlog\":100,\"EgressPerS\":100"
+                + domainSettings + "}}}";
     }
 
     /** Starts the service; the controller answers the first batch with the given orders. */
