A restart on an old list leaves lines to running servers alone

Cause: a server that a stored line names and the list lacks was created as one that has left, so it was masked and its slices went to what the old list had; when the list came it counted as restarted. Evidence: the record has nine new withdraw orders half a second after the start, before discovery had answered.

Change: PresumedServers keeps such a server in use, with the lines it has and no more, until a list names it, a whole list lacks it or half of the grace has passed; the other half is for the push and its delivery, so the rule on drains holds without a list.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -287,6 +287,8 @@
     private final Slice[] slices;
     private final TreeSet<Integer> joinedProxies = new TreeSet<>();
     private final MaskTracker maskTracker = new MaskTracker();
+    /** Servers named by stored lines only. They keep their lines, but get no more. */
+    private final PresumedServers presumedServers = new PresumedServers();
 
     /** Unacknowledged pushes, oldest first. */
     private final ArrayDeque<Push> pushes = new ArrayDeque<>();
@@ -373,11 +375,7 @@
         } else if (event instanceof Event.SliceCharge e) {
             applyCharge(e);
         } else if (event instanceof Event.StoredLine e) {
-            if (e.weight() > 0) {
-                slice(e.slice()).desired.put(e.server(), e.weight());
-                slice(e.slice()).sent.put(e.server(), e.weight());
-                server(e.server());
-            }
+            applyStoredLine(e);
         } else if (event instanceof Event.ProxyJoined e) {
             joinedProxies.add(e.proxy());
             levelsDue = decisionDue = true;
@@ -444,6 +442,21 @@
         return remembered;
     }
 
+    private void applyStoredLine(Event.StoredLine line) {
+        if (line.weight() <= 0) {
+            return;
+        }
+        slice(line.slice()).desired.put(line.server(), line.weight());
+        slice(line.slice()).sent.put(line.server(), line.weight());
+        if (!servers.containsKey(line.server())) {
+            Server server = server(line.server());
+            server.health = Health.WELL;
+            server.maskRequiredSinceNs = nowNs;
+            // If it has left after all, the rest of the grace period is needed for the push and its delivery.
+            presumedServers.add(server.id, nowNs + settings.graceNs() / 2);
+        }
+    }
+
     /** Returns the server with the given id, which becomes known if it is not yet. */
     private Server server(String id) {
         return servers.computeIfAbsent(id, newId -> {
@@ -480,7 +493,7 @@
     }
 
     private void applyEntry(Event.Entry entry) {
-        boolean known = servers.containsKey(entry.server());
+        boolean known = servers.containsKey(entry.server()) && !presumedServers.remove(entry.server());
         Server server = server(entry.server());
         long previousStartNs = server.startedNs;
         if (entry.listed() == Listed.GONE) {
@@ -506,6 +519,7 @@
 
     /** Takes a server out of use: it is to be masked within the grace period and loses its lines. */
     private void leave(Server server) {
+        presumedServers.remove(server.id);
         server.maskRequiredSinceNs = server.ready ? nowNs : server.maskRequiredSinceNs;
         server.ready = false;
         transition(server, HealthInput.LEAVES);
@@ -1275,6 +1289,7 @@
     /** Brings the desired lines of all owned slices up to date and pushes what has changed. */
     private void decide() {
         decisionDue = false;
+        presumedServers.removeExpired(nowNs).forEach(id -> leave(servers.get(id)));
         serversWithLines = null;
         for (Server server : servers.values()) {
             if (server.health == Health.ILL && nowNs >= server.holdUntilNs) {
