Restating masks costs less CPU while proxies join by the hundred

Cause: with the tracker each returning proxy compared all servers, also where all were to be restated already, and proxies that had been fresh in this run were told of servers never masked.

Change: proxies fresh in this run are told only of servers stated in it; a restatement of all servers is noted once; acknowledgements are taken in one pass over the pushes.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -381,6 +381,10 @@
             levelsDue = decisionDue = true;
             maskTracker.ordered().forEach(id -> servers.get(id).maskRequiredSinceNs = nowNs);
             maskTracker.proxyJoined(e.proxy(), e.fresh(), servers.keySet());
+            if (!e.fresh() && rounds < START_ROUNDS) {
+                // One order serves all the proxies that return together after a restart.
+                maskTracker.restateAll(servers.keySet());
+            }
         } else if (event instanceof Event.ProxyLeft e) {
             joinedProxies.remove(e.proxy());
             acknowledge(e.proxy(), -1);
@@ -610,12 +614,17 @@
      * @param upTo number of the mark, or -1 if the proxy left, so that no push waits for it any longer
      */
     private void acknowledge(int proxy, int upTo) {
-        boolean known = upTo < 0 || pushes.stream().anyMatch(push -> push.mark == upTo);
-        Stream.concat(
-                        pushes.stream().takeWhile(push -> known && push.mark != upTo),
-                        pushes.stream().filter(push -> push.mark == upTo))
-                .filter(push -> push.unacknowledged.remove(proxy) && upTo >= 0)
-                .forEach(push -> maskTracker.acknowledged(proxy, push.maskState));
+        if (upTo >= 0 && pushes.stream().noneMatch(push -> push.mark == upTo)) {
+            return;
+        }
+        for (Push push : pushes) {
+            if (push.unacknowledged.remove(proxy) && upTo >= 0) {
+                maskTracker.acknowledged(proxy, push.maskState);
+            }
+            if (push.mark == upTo) {
+                break;
+            }
+        }
         pushes.removeIf(push -> push.unacknowledged.isEmpty());
     }
 
--- a/src/main/java/puffinbarrow/MaskTracker.java
+++ b/src/main/java/puffinbarrow/MaskTracker.java
@@ -23,14 +23,27 @@
     /** Number of a push whose acknowledgement confirms nothing. */
     private static final long UNCONFIRMED = 0;
 
+    /** What is known of the masks that a proxy holds; kept while it is away. */
+    private static final class ProxyMasks {
+        /** Whether it may hold masks from an earlier run, so that a server never stated in this run may be masked. */
+        private final boolean fromEarlierRun;
+        /** Number of the latest push that left it with all masks as ordered. */
+        private long confirmedThrough;
+
+        ProxyMasks(boolean fromEarlierRun, long confirmedThrough) {
+            this.fromEarlierRun = fromEarlierRun;
+            this.confirmedThrough = confirmedThrough;
+        }
+    }
+
     private final TreeSet<String> ordered = new TreeSet<>();
     private final TreeSet<String> toRestate = new TreeSet<>();
+    /** Whether {@link #toRestate} has all known servers; saves work while proxies join by the hundred. */
+    private boolean allToRestate;
     /** Number of the latest push that ordered a server's state, by server. */
     private final Map<String, Long> statedIn = new HashMap<>();
-    /** Number of the latest push that left a proxy with all masks as ordered, by proxy; kept while it is away. */
-    private final Map<Integer, Long> confirmedThrough = new HashMap<>();
-    /** Whether a proxy has joined that was connected before. */
-    private boolean proxyReturned;
+
+    private final Map<Integer, ProxyMasks> proxies = new HashMap<>();
 
     private long pushCount;
 
@@ -55,31 +68,48 @@
     }
 
     /**
-     * Records that a proxy connected.
+     * Records that a proxy connected. Of a returning proxy that no earlier join in this run told about, any server may
+     * be masked.
      *
      * @param fresh whether it holds nothing from an earlier connection
      * @param servers all servers known so far
      */
     void proxyJoined(int proxy, boolean fresh, Collection<String> servers) {
-        restateOrdered();
         if (fresh) {
-            confirmedThrough.put(proxy, pushCount);
+            proxies.put(proxy, new ProxyMasks(false, pushCount));
+            restateOrdered();
             return;
         }
-        proxyReturned = true;
-        long confirmed = confirmedThrough.getOrDefault(proxy, UNCONFIRMED);
-        servers.stream()
-                .filter(server -> statedIn.getOrDefault(server, Long.MAX_VALUE) > confirmed)
-                .forEach(toRestate::add);
+        ProxyMasks masks = proxies.computeIfAbsent(proxy, id -> new ProxyMasks(true, UNCONFIRMED));
+        if (masks.fromEarlierRun && masks.confirmedThrough == UNCONFIRMED) {
+            restateAll(servers);
+        } else if (!allToRestate) {
+            restateOrdered();
+            servers.stream().filter(server -> isUncertain(server, masks)).forEach(toRestate::add);
+        }
     }
 
-    /** Records that a server has become known: a proxy that was connected before may hold a mask of it. */
+    private boolean isUncertain(String server, ProxyMasks masks) {
+        Long push = statedIn.get(server);
+        return push == null ? masks.fromEarlierRun : push > masks.confirmedThrough;
+    }
+
+    /** Records that a server has become known: a proxy may hold a mask of it from an earlier run. */
     void serverAppeared(String server) {
-        if (proxyReturned) {
+        allToRestate = false;
+        if (proxies.values().stream().anyMatch(masks -> masks.fromEarlierRun)) {
             toRestate.add(server);
         }
     }
 
+    /** Has the state of all servers, which are those given, ordered again. */
+    void restateAll(Collection<String> servers) {
+        if (!allToRestate) {
+            toRestate.addAll(servers);
+            allToRestate = true;
+        }
+    }
+
     /** Has all masks that are ordered now ordered again. */
     void restateOrdered() {
         toRestate.addAll(ordered);
@@ -93,6 +123,7 @@
             ordered.remove(server);
         }
         toRestate.remove(server);
+        allToRestate = false;
         statedIn.put(server, pushCount + 1);
     }
 
@@ -109,6 +140,9 @@
 
     /** Records that a proxy, on the connection on which the push was sent, has applied it. */
     void acknowledged(int proxy, long push) {
-        confirmedThrough.merge(proxy, push, Math::max);
+        ProxyMasks masks = proxies.get(proxy);
+        if (masks != null) {
+            masks.confirmedThrough = Math.max(masks.confirmedThrough, push);
+        }
     }
 }
--- a/src/test/java/puffinbarrow/MaskTrackerTest.java
+++ b/src/test/java/puffinbarrow/MaskTrackerTest.java
@@ -57,6 +57,15 @@
         assertEquals(Set.of("b"), tracker.toRestate());
     }
 
+    @Test
+    void ofAProxyThatWasFreshInThisRunOnlyStatedServersAreUncertain() {
+        tracker.proxyJoined(0, true, SERVERS);
+        tracker.state("b", false);
+        tracker.pushed(server -> false);
+        tracker.proxyJoined(0, false, SERVERS);
+        assertEquals(Set.of("b"), tracker.toRestate());
+    }
+
     @Test
     void serverThatAppearsIsUncertainOnceAProxyHasReturned() {
         tracker.proxyJoined(0, true, SERVERS);
