--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -351,13 +351,11 @@
             judgeHealth();
         }
         followIfDue();
-        boolean tickDue = nowNs >= nextTickNs;
-        nextTickNs = tickDue ? nowNs + TICK_PERIOD_NS : nextTickNs;
-        long plannedTickNs = nextTickNs;
-        if (tickDue || decisionDue) {
+        if (this.nowNs >= nextTickNs || decisionDue) {
             decide();
         }
-        if (tickDue || nextTickNs < plannedTickNs) {
+        if (this.nowNs >= nextTickNs) {
+            nextTickNs = this.nowNs + TICK_PERIOD_NS;
             orders.add(new Order.WakeAt(nextTickNs, 0));
         }
         return orders;
@@ -1418,12 +1416,7 @@
         double worthwhileLines = urgent
                 ? Math.min(masks.size() + unreachable, 0.4 * maxLines)
                 : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * maxLines);
-        long nextPushNs = nextPushNs(urgent);
-        if (nowNs < nextPushNs) {
-            nextTickNs = urgent ? Math.min(nextTickNs, nextPushNs) : nextTickNs;
-            return;
-        }
-        if (lines < worthwhileLines && !pushes.isEmpty()) {
+        if (nowNs < nextPushNs(urgent) || lines < worthwhileLines && !pushes.isEmpty()) {
             decisionDue |= urgent;
             return;
         }
