--- a/src/main/java/puffinbarrow/MaskTracker.java
+++ b/src/main/java/puffinbarrow/MaskTracker.java
@@ -68,8 +68,8 @@
     }
 
     /**
-     * Records that a proxy connected. Of a returning proxy that no earlier join in this run told about, any server may
-     * be masked.
+     * Records that a proxy connected. One that returns for the first time in this run may hold a mask of any server;
+     * later only those whose state was ordered after its latest acknowledgement are uncertain.
      *
      * @param fresh whether it holds nothing from an earlier connection
      * @param servers all servers known so far
