One MessageWindow for both channels; mayPush is a question again

Reread of the whole change; behaviour as it was. MessageWindow repeated the count of messages that PacedChannel already had: it moves to coordinator and serves both. nextPushNs computed a time that nothing used since the brought-forward tick was taken out: mayPush again.

Simulated and stand-in servers.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -378,11 +378,11 @@
             joinedProxies.add(e.proxy());
             levelsDue = decisionDue = true;
             maskTracker.ordered().forEach(id -> servers.get(id).maskRequiredSinceNs = nowNs);
-            maskTracker.proxyJoined(e.proxy(), e.fresh(), servers.keySet());
             if (!e.fresh() && rounds < START_ROUNDS) {
-                // One order serves all the proxies that return together after a restart.
+                // So soon after a start all is restated, also to a proxy that has joined this run before.
                 maskTracker.restateAll(servers.keySet());
             }
+            maskTracker.proxyJoined(e.proxy(), e.fresh(), servers.keySet());
         } else if (event instanceof Event.ProxyLeft e) {
             joinedProxies.remove(e.proxy());
             acknowledge(e.proxy(), -1);
@@ -495,7 +495,8 @@
     }
 
     private void applyEntry(Event.Entry entry) {
-        boolean known = servers.containsKey(entry.server()) && !presumedServers.remove(entry.server());
+        boolean presumed = presumedServers.remove(entry.server());
+        boolean known = servers.containsKey(entry.server()) && !presumed;
         Server server = server(entry.server());
         long previousStartNs = server.startedNs;
         if (entry.listed() == Listed.GONE) {
@@ -1416,7 +1417,7 @@
         double worthwhileLines = urgent
                 ? Math.min(masks.size() + unreachable, 0.4 * maxLines)
                 : Math.min(masks.size() + lifted.size() + 2 * due.size(), 0.6 * maxLines);
-        if (nowNs < nextPushNs(urgent) || lines < worthwhileLines && !pushes.isEmpty()) {
+        if (!mayPush(urgent) || lines < worthwhileLines && !pushes.isEmpty()) {
             decisionDue |= urgent;
             return;
         }
@@ -1437,19 +1438,16 @@
         return new MessageBudget(settings.messagesSpanNs(), allowed, intervalNs);
     }
 
-    /** Returns when the interval since the last push and the limit on messages allow a push. */
-    private long nextPushNs(boolean urgent) {
-        if (settings.messagesAllowed() == 0) {
-            return lastPushNs + (urgent ? MIN_URGENT_PUSH_GAP_NS : MIN_PUSH_GAP_NS);
-        }
-        if (urgent) {
-            return Math.max(lastPushNs + MIN_URGENT_PUSH_GAP_NS, messages.nextNs());
-        }
+    /** Whether the interval since the last push and the limit on messages allow a push. */
+    private boolean mayPush(boolean urgent) {
+        boolean limited = settings.messagesAllowed() > 0;
         // Ordinary pushes get half of the allowed messages, at half the rate that the limit allows.
-        if (messages.count(nowNs) >= settings.messagesAllowed() / 2.0) {
-            return Long.MAX_VALUE;
+        long ordinaryGapNs = limited ? 2 * settings.messagesSpanNs() / settings.messagesAllowed() : MIN_PUSH_GAP_NS;
+        if (nowNs - lastPushNs < (urgent ? MIN_URGENT_PUSH_GAP_NS : ordinaryGapNs)) {
+            return false;
         }
-        return Math.max(lastPushNs + 2 * settings.messagesSpanNs() / settings.messagesAllowed(), messages.nextNs());
+        return !limited
+                || nowNs >= messages.nextNs() && (urgent || messages.count(nowNs) < settings.messagesAllowed() / 2.0);
     }
 
     /** Lines that the latest levels took in a push. */
--- a/src/main/java/puffinbarrow/coordinator/PacedChannel.java
+++ b/src/main/java/puffinbarrow/coordinator/PacedChannel.java
@@ -30,8 +30,8 @@
 
     private final long windowNs;
     private final ArrayDeque<Message> queue = new ArrayDeque<>();
-    /** When the latest messages to each proxy were queued. */
-    private final Map<Integer, ArrayDeque<Long>> queuedTimes = new HashMap<>();
+    /** The messages queued for each proxy. */
+    private final Map<Integer, MessageWindow> messageWindows = new HashMap<>();
     /** Lines in the queue. */
     private double waiting;
 
@@ -57,14 +57,12 @@
             return OfferResult.QUEUE_FULL;
         }
         if (maxMessages > 0) {
-            ArrayDeque<Long> times = queuedTimes.computeIfAbsent(message.proxy, p -> new ArrayDeque<>());
-            while (!times.isEmpty() && now - times.peekFirst() > windowNs) {
-                times.pollFirst();
-            }
-            if (times.size() >= maxMessages) {
+            MessageWindow window =
+                    messageWindows.computeIfAbsent(message.proxy, p -> new MessageWindow(maxMessages, windowNs));
+            if (window.waitNs(now) > 0) {
                 return OfferResult.TOO_MANY_MESSAGES;
             }
-            times.addLast(now);
+            window.add(now);
         }
         if (queue.isEmpty()) {
             headSentAtNs = Math.max(headSentAtNs, now) + duration(message);
@@ -106,7 +104,7 @@
     void removeProxy(int proxy) {
         Message head = queue.peekFirst();
         queue.removeIf(m -> m.proxy == proxy);
-        queuedTimes.remove(proxy);
+        messageWindows.remove(proxy);
         waiting = queue.stream().mapToDouble(Message::lines).sum();
         if (head != queue.peekFirst() && !queue.isEmpty()) {
             headSentAtNs += duration(queue.peekFirst()) - duration(head);
--- a/src/main/java/puffinbarrow/platform/RelayClient.java
+++ b/src/main/java/puffinbarrow/platform/RelayClient.java
@@ -15,6 +15,7 @@
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
 import puffinbarrow.control.Settings;
+import puffinbarrow.coordinator.MessageWindow;
 import puffinbarrow.net.HttpCaller;
 import puffinbarrow.net.HttpParser;
 import puffinbarrow.net.Link;
@@ -122,6 +123,10 @@
     /** Time that a full channel takes to drain: after a longer gap in the events it holds nothing from before. */
     private final long channelDrainNs;
 
+    /**
+     * Calls that may have been accepted, each at its answer or break: the relay may have written its message at any time
+     * until then.
+     */
     private final MessageWindow messageWindow;
 
     RelayClient(Net net, EventLoop loop, PlatformCodec codec, InetSocketAddress relay, Settings settings) {
--- a/src/test/java/puffinbarrow/StaleMaskTest.java
+++ b/src/test/java/puffinbarrow/StaleMaskTest.java
@@ -49,6 +49,14 @@
         }
     }
 
+    /** Has both proxies join and serve until load is known. */
+    private void startWithProxies(boolean fresh) {
+        giveAllSlices("s0", "s1", "s2");
+        join(0, fresh);
+        join(1, fresh);
+        passRounds(5);
+    }
+
     private long masksOrdered() {
         return host.ordersOf(Order.Mask.class).size();
     }
@@ -57,10 +65,7 @@
     @Test
     void serverListedOnlyAfterTheRestartIsUnmaskedAtReturningProxies() {
         host.masks.add("s3");
-        giveAllSlices("s0", "s1", "s2");
-        join(0, false);
-        join(1, false);
-        passRounds(5);
+        startWithProxies(false);
         host.list("s3", Listed.READY, host.nowNs);
         host.run(1);
         assertFalse(host.masks.contains("s3"), "the earlier run's mask is still held");
@@ -94,11 +99,8 @@
     /** Guards against a proxy that left before it had applied the orders that lifted its masks. */
     @Test
     void proxyThatLeavesBeforeItAcknowledgesIsToldAgain() {
-        giveAllSlices("s0", "s1", "s2");
         host.stopAcknowledging();
-        join(0, false);
-        join(1, false);
-        passRounds(5);
+        startWithProxies(false);
         host.queue(new Event.ProxyLeft(1));
         host.run(1);
         host.masks.add("s1");
@@ -110,10 +112,7 @@
     /** Guards against a server masked, or unmasked, while a proxy was away. */
     @Test
     void proxyThatWasAwayIsToldWhatChangedMeanwhileAndNoMore() {
-        giveAllSlices("s0", "s1", "s2");
-        join(0, false);
-        join(1, false);
-        passRounds(5);
+        startWithProxies(false);
         host.list("s2", Listed.READY, host.nowNs);
         host.run(0.25);
         assertTrue(host.masks.contains("s2"), "a restarted server is masked until it is emptied");
@@ -131,10 +130,7 @@
     /** Where all proxies are fresh, no proxy holds an old mask, and a new server costs no order. */
     @Test
     void newServerCostsNoMaskOrderWhileAllProxiesAreFresh() {
-        giveAllSlices("s0", "s1", "s2");
-        join(0, true);
-        join(1, true);
-        passRounds(5);
+        startWithProxies(true);
         host.list("s3", Listed.READY, host.nowNs - SECOND);
         host.run(1);
         assertEquals(0, masksOrdered());
--- a/src/test/java/puffinbarrow/platform/MessageLimitTest.java
+++ b/src/test/java/puffinbarrow/platform/MessageLimitTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Timeout;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.coordinator.MessageWindow;
 import puffinbarrow.net.Link;
 
 /** Messages that the service sends besides those of the orders are reported, and the limit on messages is kept. */
