Review case 6: 890 half messages of strangers end the coordinator

Cause: run fixes the heap at 32 MB while up to sockets less 128 strangers may each hold a half message whose 4 KiB on the wire take about 36 KB in the heap.

--- /dev/null
+++ b/review/platform/src/platform/Cases.java
@@ -0,0 +1,156 @@
+package platform;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/**
+ * The cases of the review, one for each number. Arguments: number, the case's folder (for record.txt), the repository's
+ * root. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+ */
+final class Cases {
+    private static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
+
+    private Cases() {}
+
+    public static void main(String[] args) throws Exception {
+        int number = Integer.parseInt(args[0]);
+        Path scratch = Files.createTempDirectory("review-" + number + "-");
+        World world = null;
+        int code = 2;
+        try {
+            Site site = site(number);
+            world = new World(site, scratch, Path.of(args[1], "record.txt"), args[2], 40 + number);
+            World w = world;
+            w.recordFlows = true;
+            Runtime.getRuntime().addShutdownHook(new Thread(w::killAll));
+            w.say("case " + number + " site " + site.name + " trouble " + (TROUBLE ? 1 : 0));
+            w.begin();
+            if (w.awaitAllReady()) {
+                switch (number) {
+                    case 6 -> strangers(w);
+                    case 7 -> pushedList(w);
+                    case 8 -> takeover(w);
+                    default -> throw new IllegalArgumentException("no case " + number);
+                }
+                w.loop.submit(w::end).get();
+                code = w.broken.isEmpty() ? 0 : 1;
+                System.out.println(code == 0 ? "held" : "BROKEN " + w.broken.size() + " times, first: " + w.broken.get(0));
+            } else {
+                System.out.println("could not run: no coordinator was ready within 30 s");
+            }
+        } catch (IOException | RuntimeException failure) {
+            failure.printStackTrace();
+        } finally {
+            if (world != null) {
+                world.killAll();
+            }
+            try (Stream<Path> files = Files.walk(scratch)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+            }
+        }
+        System.exit(code);
+    }
+
+    private static Site site(int number) {
+        return switch (number) {
+            case 7 -> Site.dealer();
+            case 8 -> {
+                Site site = Site.bystrica();
+                site.coordinators = 2;
+                site.flowsPerS = 170;
+                site.slices = 66;
+                site.coldFrom = 0.2;
+                site.coldSeconds = 18;
+                site.takeoverMs = 2800;
+                site.sliceSigma = 0.4;
+                yield site;
+            }
+            default -> Site.bystrica();
+        };
+    }
+
+    /** Strangers connect by the hundred; each sends half a message and waits for its answer. */
+    private static void strangers(World w) throws Exception {
+        World.sleep(8);
+        StringBuilder half = new StringBuilder("*1024\r\n");
+        for (int i = 0; i < 580; i++) {
+            half.append("$1\r\na\r\n");
+        }
+        byte[] bytes = half.toString().getBytes(StandardCharsets.US_ASCII);
+        int port = w.coordinators.get(0).listenPort;
+        for (int wave = 0; wave < 4 && TROUBLE && w.broken.isEmpty(); wave++) {
+            List<Socket> strangers = new ArrayList<>();
+            try {
+                while (strangers.size() < 890) {
+                    Socket stranger = new Socket("127.0.0.1", port);
+                    stranger.getOutputStream().write(bytes);
+                    strangers.add(stranger);
+                }
+            } catch (IOException gone) {
+                // The coordinator closed this one, or has ended.
+            }
+            int count = strangers.size();
+            w.loop.execute(() -> w.say(count + " strangers connected; each sent " + bytes.length + " bytes, half a message"));
+            World.sleep(4);
+            for (Socket stranger : strangers) {
+                stranger.close();
+            }
+            World.sleep(2);
+        }
+        World.sleep(4);
+    }
+
+    /** A rolling deploy, two servers at a time, where the settings say that the list is pushed. */
+    private static void pushedList(World w) {
+        World.sleep(8);
+        if (TROUBLE) {
+            double t = w.now();
+            List<World.Server> first = new ArrayList<>(w.servers);
+            for (int i = 0; i < 12; i++) {
+                World.Server old = first.get(i);
+                w.at(t + i / 2 * 5, () -> replace(w, old, 1.0, 4.9));
+            }
+        }
+        World.sleep(42);
+    }
+
+    /** A server drains and ends; its successor starts cold at once and is listed after a while. */
+    private static void replace(World w, World.Server old, double listedAfter, double endsAfter) {
+        w.list(old, "DRAINING");
+        World.Server fresh = w.addServer(false);
+        fresh.listed = false;
+        fresh.unlisted = true;
+        w.at(w.now() + listedAfter, () -> {
+            fresh.unlisted = false;
+            w.list(fresh, "SERVING");
+        });
+        w.at(w.now() + endsAfter, () -> {
+            old.up = false;
+            w.say("server " + old.id + " has ended");
+            w.list(old, "DELETED");
+        });
+    }
+
+    /** One of two coordinators is killed outright while six in ten servers are replaced within 7 s. */
+    private static void takeover(World w) {
+        World.sleep(20);
+        if (TROUBLE) {
+            double t = w.now();
+            w.at(t, () -> w.killAndStart(w.coordinators.get(0), 12, false));
+            List<World.Server> first = new ArrayList<>(w.servers);
+            for (int i = 0; i < 10; i++) {
+                World.Server old = first.get(i);
+                double listedAfter = i == 0 ? 0.3 : 2.0;
+                w.at(t + 0.9 + (i / 2) * 0.8, () -> replace(w, old, listedAfter, 4.9));
+            }
+        }
+        World.sleep(12);
+    }
+}
