--- a/review/platform/src/platform/Fuzz.java
+++ b/review/platform/src/platform/Fuzz.java
@@ -59,7 +59,7 @@
         }
         double t0 = w.now();
         List<String> list = new ArrayList<>(kinds);
-        for (double t = t0 + 8; t < t0 + seconds - 10; t += 1 + 5 * r.nextDouble()) {
+        for (double t = t0 + 8; t < t0 + seconds - 10; t += Double.parseDouble(System.getProperty("gap", "6")) * (0.2 + 0.8 * r.nextDouble())) {
             String kind = list.get(r.nextInt(list.size()));
             w.at(t, () -> play(w, r, kind));
         }
--- a/review/platform/src/platform/World.java
+++ b/review/platform/src/platform/World.java
@@ -68,6 +68,8 @@
         boolean[] attached;
         int[] epoch;
         boolean[] holdsOrdered;
+        /** When it joined, on the judge's clock of each coordinator. */
+        double[] joinedAt;
         double[] lastArrival;
         double[] lastOrderedAt;
         List<TreeSet<String>> masks = new ArrayList<>();
@@ -216,6 +218,7 @@
             p.attached = new boolean[site.coordinators];
             p.epoch = new int[site.coordinators];
             p.holdsOrdered = new boolean[site.coordinators];
+            p.joinedAt = new double[site.coordinators];
             p.lastArrival = new double[site.coordinators];
             p.lastOrderedAt = new double[site.coordinators];
             p.bareSince = new double[site.slices];
@@ -611,6 +614,7 @@
         p.epoch[c.number]++;
         p.messages.get(c.number).clear();
         p.lastArrival[c.number] = now();
+        p.joinedAt[c.number] = c.clock;
         news(c, attachText(c, p));
         at(now() + site.syncMs / 1000 * (0.5 + chance.nextDouble()), () -> readStore(p, c.number, -1));
     }
@@ -649,6 +653,8 @@
                 p.masks.get(c.number).clear();
             }
             Arrays.fill(p.bareSince, Double.NaN);
+            // It has no table before it reads the store.
+            p.tables.values().forEach(TreeMap::clear);
             coordinators.forEach(c -> attach(c, p));
         });
     }
@@ -885,7 +891,7 @@
         if (told == null || !p.attached[c.number] || !c.ready) {
             return;
         }
-        double since = Math.max(told, c.givenAt.getOrDefault(slice, -1e9));
+        double since = Math.max(p.joinedAt[c.number], Math.max(told, c.givenAt.getOrDefault(slice, -1e9)));
         if (c.clock - since > site.graceMs / 1000 + 0.3) {
             breach(String.format(
                     Locale.ROOT,
