--- a/review/platform/src/platform/World.java
+++ b/review/platform/src/platform/World.java
@@ -322,6 +322,7 @@
         s.startedAt = now();
         Arrays.fill(s.coreFree, now());
         s.sent.clear();
+        coordinators.forEach(c -> c.startKnownAt.remove(s.id));
         say("server " + s.id + " started, cold");
     }
 
