Review case 7: masks lost while the news was broken are never said again

Cause: after a gap in the news shorter than the channel's drain, proxies that left and returned are not reported, and the repeated mark confirms messages that they lost.

--- a/review/platform/src/platform/Cases.java
+++ b/review/platform/src/platform/Cases.java
@@ -35,9 +35,10 @@
             if (w.awaitAllReady()) {
                 switch (number) {
                     case 6 -> strangers(w);
-                    case 7 -> pushedList(w);
+                    case 7 -> lostRestore(w);
                     case 8 -> takeover(w);
-                    case 9 -> hotKey(w);
+                    case 9 -> pushedList(w);
+                    case 10 -> hotKey(w);
                     default -> throw new IllegalArgumentException("no case " + number);
                 }
                 w.loop.submit(w::end).get();
@@ -61,7 +62,7 @@
 
     private static Site site(int number) {
         return switch (number) {
-            case 7 -> Site.dealer();
+            case 9 -> Site.dealer();
             case 8 -> {
                 Site site = Site.bystrica();
                 site.coordinators = 2;
@@ -76,7 +77,7 @@
                 site.sliceSigma = 0.5;
                 yield site;
             }
-            case 9 -> {
+            case 10 -> {
                 Site site = Site.bystrica();
                 site.flowsPerS = 175;
                 site.slices = 66;
@@ -87,6 +88,15 @@
                 site.lateMostMs = 300;
                 yield site;
             }
+            case 7 -> {
+                Site site = Site.whk();
+                site.coordinators = 1;
+                site.flowsPerS = 200;
+                site.bareMs = 6300;
+                site.redialMs = 300;
+                site.syncMs = 200;
+                yield site;
+            }
             default -> Site.bystrica();
         };
     }
@@ -238,4 +248,45 @@
             }
         }
     }
+
+    /**
+     * Servers die at once and come back cold. As the orders that let them back in are on their way, the coordinator's news
+     * breaks and can't be had for 0.35 s, in which the streams of three proxies break and return. TROUBLE=crash
+     * leaves out the breaks.
+     */
+    private static void lostRestore(World w) {
+        World.sleep(10);
+        World.Coordinator c = w.coordinators.get(0);
+        if (TROUBLE) {
+            double t = w.now();
+            List<World.Server> dead = new ArrayList<>();
+            w.at(t, () -> {
+                for (int i = 0; i < 5; i++) {
+                    World.Server server = w.servers.get(4 * i);
+                    dead.add(server);
+                    server.up = false;
+                    w.say("server " + server.id + " died");
+                }
+            });
+            w.at(t + 2, () -> dead.forEach(server -> w.list(server, "DELETED")));
+            w.at(t + 8, () -> dead.forEach(w::restart));
+            w.at(t + 9, () -> dead.forEach(server -> w.list(server, "SERVING")));
+            if (!"crash".equals(System.getenv("TROUBLE"))) {
+                w.onCall = (from, text) -> {
+                    if (dead.stream().filter(server -> text.contains("restore," + server.id)).count() >= 3) {
+                        w.onCall = (other, later) -> { };
+                        w.at(w.now() + 0.005, () -> {
+                            w.breakNews(c);
+                            c.relayFault = "reset";
+                            c.relayFaultUntil = w.now() + 0.35;
+                            for (int i = 0; i < 3; i++) {
+                                w.breakStream(c, w.proxies.get(i), 0.25);
+                            }
+                        });
+                    }
+                };
+            }
+        }
+        World.sleep(95);
+    }
 }
--- a/review/platform/src/platform/World.java
+++ b/review/platform/src/platform/World.java
@@ -164,6 +164,8 @@
     /** Whether each flow is written to the record. */
     boolean recordFlows;
     private boolean ended;
+    /** Told of each call that the relay took. */
+    java.util.function.BiConsumer<Coordinator, String> onCall = (c, text) -> { };
     /** The few slices in demand for a while. */
     int[] tideSlices = {0, 1, 2};
 
@@ -425,6 +427,9 @@
         String fault = now() < c.relayFaultUntil ? c.relayFault : "";
         if (fault.equals("silent")) {
             return;
+        } else if (fault.equals("reset")) {
+            from.reset();
+            return;
         }
         if (target.startsWith("/api/stream")) {
             from.write("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
@@ -461,6 +466,7 @@
             return;
         }
         int count = take(c, text);
+        onCall.accept(c, text);
         if (lose) {
             say("call c" + c.number + " taken, answer lost");
             freeze(c, 0.5);
