--- a/review/platform/src/platform/Cases.java
+++ b/review/platform/src/platform/Cases.java
@@ -11,7 +11,7 @@
 import java.util.stream.Stream;
 
 /**
- * The cases of the review, one for each number. Arguments: number, the case's folder (for record.txt), the repository's
+ * The cases of the review, one for each number. Arguments: number, the file for the record, the repository's
  * root. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  */
 final class Cases {
@@ -26,7 +26,7 @@
         int code = 2;
         try {
             Site site = site(number);
-            world = new World(site, scratch, Path.of(args[1], "record.txt"), args[2], 40 + number);
+            world = new World(site, scratch, Path.of(args[1]), args[2], 40 + number);
             World w = world;
             w.recordFlows = true;
             Runtime.getRuntime().addShutdownHook(new Thread(w::killAll));
