--- a/review/platform/src/platform/Cases.java
+++ b/review/platform/src/platform/Cases.java
@@ -29,7 +29,11 @@
             world = new World(site, scratch, Path.of(args[1]), args[2], 40 + number);
             World w = world;
             w.recordFlows = true;
-            Runtime.getRuntime().addShutdownHook(new Thread(w::killAll));
+            // Also when the script is cut off.
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                w.killAll();
+                delete(scratch);
+            }));
             w.say("case " + number + " site " + site.name + " trouble " + (TROUBLE ? 1 : 0));
             w.begin();
             if (w.awaitAllReady()) {
@@ -53,13 +57,22 @@
             if (world != null) {
                 world.killAll();
             }
-            try (Stream<Path> files = Files.walk(scratch)) {
-                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-            }
+            delete(scratch);
         }
         System.exit(code);
     }
 
+    private static void delete(Path folder) {
+        if (!Files.exists(folder)) {
+            return;
+        }
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException gone) {
+            // Deleted meanwhile.
+        }
+    }
+
     private static Site site(int number) {
         return switch (number) {
             case 9 -> Site.dealer();
--- a/review/platform/src/platform/World.java
+++ b/review/platform/src/platform/World.java
@@ -1351,7 +1351,7 @@
         return false;
     }
 
-    /** Ends all processes that were started. */
+    /** Ends all processes that were started and waits until they are gone. */
     void killAll() {
         for (Coordinator c : coordinators) {
             c.expectedEnd = true;
@@ -1359,6 +1359,15 @@
                 c.process.destroyForcibly();
             }
         }
+        for (Coordinator c : coordinators) {
+            try {
+                if (c.process != null && !c.process.waitFor(10, TimeUnit.SECONDS)) {
+                    say("c" + c.number + " has not ended");
+                }
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+            }
+        }
         record.flush();
     }
 
