A cold server gets a slice only with room for a key that becomes hot

Cause: the limit for cold servers counted the known demand of their slices alone. A key multiplies that at once, sums come up to 3.6 s late and the server collapses after 2 s.

Change: ColdServerLimits takes over the calm load from Logic and tells what a burst of two mean servers' worth in one slice would use up. A cold server without that room gets no slice while another one with room stays below a utilization bound; in an overload nothing is held back.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -8,6 +8,7 @@
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -295,6 +296,8 @@
     /** Messages written to each proxy; a push is one. */
     private final MessageBudget messages;
 
+    private final ColdServerLimits coldLimits;
+
     private boolean levelsDue = true;
     /** Whether to decide in this call without waiting for the tick. */
     private boolean decisionDue;
@@ -324,6 +327,7 @@
         this.seed = seed;
         nextFollowNs = settings.listOnRequest() ? Long.MIN_VALUE : Long.MAX_VALUE;
         messages = messageBudget(settings);
+        coldLimits = new ColdServerLimits(settings.fallMultiple());
         slices = new Slice[Math.max(0, settings.slices())];
         for (int i = 0; i < slices.length; i++) {
             slices[i] = new Slice(i);
@@ -419,9 +423,8 @@
                     server.holdNs = Math.max(server.holdNs, (long) discounted);
                 }
             }
-            case CALM_LOAD -> calmLoad = likely ? Math.max(calmLoad, recalled.value()) : calmLoad;
-            case CALM_WHOLE -> calmLoadWholeFleet =
-                    likely ? Math.max(calmLoadWholeFleet, recalled.value()) : calmLoadWholeFleet;
+            case CALM_LOAD -> coldLimits.raiseCalmLoad(likely ? recalled.value() : 0);
+            case CALM_WHOLE -> coldLimits.raiseCalmLoadWholeFleet(likely ? recalled.value() : 0);
             case SHED -> shedGroups = Math.max(
                     shedGroups,
                     Math.min(discounted, MAX_SHED_PER_GROUP * (settings.groups().size() - 1)));
@@ -433,8 +436,8 @@
     @Override
     public List<Event.Recalled> rememberedState() {
         List<Event.Recalled> remembered = new ArrayList<>(List.of(
-                new Event.Recalled(Event.Recall.CALM_LOAD, "", calmLoad, 1),
-                new Event.Recalled(Event.Recall.CALM_WHOLE, "", calmLoadWholeFleet, 1),
+                new Event.Recalled(Event.Recall.CALM_LOAD, "", coldLimits.calmLoad(), 1),
+                new Event.Recalled(Event.Recall.CALM_WHOLE, "", coldLimits.calmLoadWholeFleet(), 1),
                 new Event.Recalled(Event.Recall.SHED, "", shedGroups, 1),
                 new Event.Recalled(Event.Recall.STRAINED, "", fleetOverloaded ? 1 : 0, 1)));
         servers.values().stream()
@@ -754,9 +757,8 @@
         boolean overloaded = !idle && (medianDropShare > 0.1 && budgetUsed > 0.3 || budgetUsed > 0.5);
         boolean relaxed = idle || (medianDropShare < 0.03 || budgetUsed < 0.2) && budgetUsed < 0.35;
         fleetOverloaded = overloaded || fleetOverloaded && !relaxed;
-        if (!fleetOverloaded && !wasOverloaded && fleetCapacity > 0) {
-            calmLoad = Math.max(calmLoad, fleetDemand / fleetCapacity);
-            calmLoadWholeFleet = Math.max(calmLoadWholeFleet, fleetDemand / wholeFleetSize);
+        if (!fleetOverloaded && !wasOverloaded) {
+            coldLimits.recordCalm();
         }
         double shedBefore = shedGroups;
         int sheddableGroups = settings.groups().size() - 1;
@@ -895,6 +897,13 @@
                         .filter(load -> !Double.isNaN(load))
                         .average()
                         .orElse(1));
+        int usable = (int) servers.values().stream().filter(Server::usable).count();
+        coldLimits.update(new ColdServerLimits.Fleet(
+                fleetDemand,
+                fleetCapacity,
+                wholeFleetSize,
+                usable,
+                cpuReported ? Math.min(1, meanReportedLoad) : Double.NaN));
         for (Slice slice : slices) {
             if (slice.owned) {
                 slice.demand = withFlows == 0 ? meanDemand : Math.max(slice.demand, meanDemand / 20);
@@ -952,6 +961,22 @@
                 + REPORT_WEIGHT * ownedShare * demand;
     }
 
+    /** Logs a slice's move to a server that is not warm, with what limits such moves. */
+    private void logIfCold(Slice slice, Server server) {
+        if (warmth(server) < 1) {
+            log(String.format(
+                    Locale.ROOT,
+                    "cold %s gets slice %d: warmth %.2f load %.2f with it %.2f limit %.2f burst %.2f",
+                    server.id,
+                    slice.number,
+                    warmth(server),
+                    relativeLoad(server, server.demand),
+                    relativeLoad(server, server.demand + demandPerPrimary(slice)),
+                    coldLimits.loadLimit(),
+                    burstShare(server, slice)));
+        }
+    }
+
     /** Slices moved or given a new primary so far; shows whether anything moved in between. */
     private long moveCount;
 
@@ -960,6 +985,7 @@
         slice.movedAtNs = nowNs;
         moveCount++;
         if (to != null) {
+            logIfCold(slice, to);
             to.pendingLoad.add(nowNs, ownedShare * relativeLoad(to, demandPerPrimary(slice)));
             to.score += scoreContribution(slice, to);
             to.sliceCount++;
@@ -975,26 +1001,35 @@
 
     /** Whether a server can take a slice: always if warm, else while its relative load stays within the cold limit. */
     private boolean fits(Server server, Slice slice) {
-        return warmth(server) >= 1 || relativeLoad(server, server.demand + demandPerPrimary(slice)) <= coldLoadLimit();
+        return warmth(server) >= 1 || relativeLoadWith(slice, server) <= coldLimits.loadLimit();
     }
 
-    /** The highest demand per usable capacity seen while the fleet was not overloaded. */
-    private double calmLoad;
-    /** The highest demand per size of the complete fleet seen while the fleet was not overloaded. */
-    private double calmLoadWholeFleet;
+    private double relativeLoadWith(Slice slice, Server server) {
+        return relativeLoad(server, server.demand + demandPerPrimary(slice));
+    }
 
-    /**
-     * Returns the highest relative load that a cold server may be given, 0 to 1. When demand is a multiple of the
-     * highest calm load, the limit shrinks so that the server stays below 0.4 of the load that would make it fall over,
-     * as keys it has not seen cost it more and it may be slower than its listed size suggests.
-     */
-    private double coldLoadLimit() {
-        // With less than two fifths of the fleet left, the present load is not calm even if few flows are dropped, so
-        // the reference is then taken over the size of the full fleet. Where most servers were removed for good, this
-        // makes the limit lower than necessary.
-        double calm = fleetCapacity < 0.4 * wholeFleetSize ? calmLoadWholeFleet : calmLoad;
-        double multiple = calm <= 0 ? 1 : fleetDemand / fleetCapacity / calm;
-        return Math.min(1, settings.fallMultiple() / 2.5 / Math.max(1, multiple));
+    /** Returns the server's reported load relative to the mean; 0 without a report. */
+    private double relativeReport(Server server) {
+        return Double.isNaN(server.reportedLoad) ? 0 : server.reportedLoad / meanReportedLoad;
+    }
+
+    /** Returns the share of what it bears that the server gets if one of its slices, this one added, becomes hot. */
+    private double burstShare(Server server, Slice slice) {
+        return warmth(server) >= 1 ? 0 : coldLimits.burstShare(relativeLoadWith(slice, server), capacity(server));
+    }
+
+    /** Returns the least load with the slice of a server that has room for a burst; infinite if there is none. */
+    private double leastLoadWithBurstRoom(List<Server> candidates, Slice slice) {
+        return candidates.stream()
+                .filter(server -> burstShare(server, slice) <= 1)
+                .mapToDouble(server -> Math.max(relativeLoadWith(slice, server), relativeReport(server)))
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
+    /** Whether a slice had better not go to a cold server, as another one can take it that has this load with it. */
+    private boolean prefersLoaded(Server cold, Slice slice, double relativeLoad) {
+        return !fleetOverloaded && !retriesSuspended && coldLimits.prefersLoaded(burstShare(cold, slice), relativeLoad);
     }
 
     /** Moves slices off cold servers that carry more than their limit, however that came about. */
@@ -1004,7 +1039,7 @@
                 .toList()) {
             for (Slice slice : slices) {
                 // A quarter above the limit for accepting a slice, so that slices do not go back and forth.
-                if (relativeLoad(server, server.demand) > 1.25 * coldLoadLimit()
+                if (relativeLoad(server, server.demand) > 1.25 * coldLimits.loadLimit()
                         && slice.owned
                         && isPrimary(slice, server.id)) {
                     Server target = leastLoaded(slice, server.id, false);
@@ -1042,6 +1077,8 @@
         if (candidates.isEmpty()) {
             return null;
         }
+        double standInLoad = leastLoadWithBurstRoom(candidates, slice);
+        candidates.removeIf(server -> prefersLoaded(server, slice, standInLoad));
         // For a standby line, a third of the server's standby demand counts as load, so that these lines spread.
         ToDoubleFunction<Server> rank =
                 server -> server.score + (standby ? 0.3 * relativeLoad(server, server.standbyDemand) : 0);
@@ -1198,16 +1235,20 @@
                         ? movable
                         : movableSlices(source, minStayNs);
                 movesWhenComputed = moveCount;
-                fill(server, source, movable);
+                fill(server, source, movable, usable);
             }
         }
         evenOut(usable);
     }
 
-    /** Moves one slice to a server with little load (fresh, or unmasked after it was ILL) from the most loaded one. */
-    private void fill(Server target, Server source, List<Slice> movable) {
+    /**
+     * Moves one slice to a server with little load (fresh, or unmasked after it was ILL) from the most loaded one; to a
+     * cold one without room for a burst only where no other has room.
+     */
+    private void fill(Server target, Server source, List<Slice> movable, List<Server> usable) {
         movable.stream()
                 .filter(slice -> fits(target, slice) && improvesBalance(slice, source, target))
+                .filter(slice -> !prefersLoaded(target, slice, leastLoadWithBurstRoom(usable, slice)))
                 .max(Comparator.comparingDouble(slice -> slice.demand))
                 .ifPresent(slice -> move(slice, source, target));
     }
