One memory budget for all clients of serve; half messages are kept as bytes

Cause: RespReader kept each part of an incomplete message as a string (heap histogram with 600 clients: 23.8 MB live, 20.1 MB of them 351,799 strings), so the limit in bytes did not limit the heap; and each limit was one client's own, so that 32 joined clients with half a message of 1 MB ended it as well.

Change: RespReader keeps bytes and makes strings of complete messages only. MemoryBudget counts what all clients make the process hold, a quarter of the heap; beyond it CollectorListener rejects the one that holds most over a small allowance. Read buffers of clients that have not joined stay small, answers to the heartbeats of one read are one buffer, and rejected clients that do not read are closed.

--- a/src/main/java/puffinbarrow/net/Link.java
+++ b/src/main/java/puffinbarrow/net/Link.java
@@ -47,6 +47,9 @@
      */
     private static final int INITIAL_READ_BYTES = 1024;
 
+    /** Heap that a queued buffer takes besides its bytes: the buffer object, the array's header, its place in the queue. */
+    private static final int QUEUED_BUFFER_OVERHEAD_BYTES = 96;
+
     /** Buffers handed to one gathering write. */
     private static final int BUFFERS_PER_WRITE = 16;
 
@@ -56,6 +59,8 @@
     private final long queueBytes;
 
     private ByteBuffer in = ByteBuffer.allocate(INITIAL_READ_BYTES);
+    /** Up to this size the read buffer grows. */
+    private volatile int maxReadBytes = MAX_READ_BYTES;
     /** Buffers not fully written yet, oldest first; it is also the lock for the state of reading and writing. */
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     /** Why the link ended; null while it is open. */
@@ -103,6 +108,18 @@
         }
     }
 
+    /** Sets whether the read buffer may grow; it starts small. Takes effect with the next read. */
+    public void growReadBuffer(boolean on) {
+        maxReadBytes = on ? MAX_READ_BYTES : INITIAL_READ_BYTES;
+    }
+
+    /** Returns the size in bytes of the buffers that the link holds. */
+    public long heldBytes() {
+        synchronized (queue) {
+            return in.capacity() + queued + (long) QUEUED_BUFFER_OVERHEAD_BYTES * queue.size();
+        }
+    }
+
     /** Starts the next read, unless reading is paused or the link has ended. */
     private void read() {
         synchronized (queue) {
@@ -115,7 +132,7 @@
             return;
         }
         in.clear();
-        if (filled && in.capacity() < MAX_READ_BYTES) {
+        if (filled && in.capacity() < maxReadBytes) {
             in = ByteBuffer.allocate(in.capacity() * 4);
         }
         try {
--- a/src/main/java/puffinbarrow/platform/CollectorListener.java
+++ b/src/main/java/puffinbarrow/platform/CollectorListener.java
@@ -4,10 +4,15 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import puffinbarrow.control.Event;
 import puffinbarrow.net.Link;
+import puffinbarrow.net.MemoryBudget;
 import puffinbarrow.net.Net;
 import puffinbarrow.resp.RespException;
 import puffinbarrow.resp.RespReader;
@@ -17,7 +22,8 @@
  * Server on the coordinator's own address. Collectors connect, join by naming their zone, and send reports. Any client
  * may send a heartbeat, {@code hb}, before or after joining. Every other client is answered with {@code reject} and
  * closed. The platform requires an answer to a client within three seconds, and allows a connection that has not joined
- * to be closed after one second; so no such connection holds a socket for long. Runs on the network threads.
+ * to be closed after one second; so no such connection holds a socket for long. All clients together may make the
+ * process hold only so much memory; beyond that, the one that holds most is rejected. Runs on the network threads.
  */
 final class CollectorListener {
     /** Receives the valid reports; called on the network threads. */
@@ -42,6 +48,16 @@
     private static final long JOIN_TIMEOUT_NS = 1_400_000_000L;
     /** Interval at which the time to join is checked. */
     private static final long JOIN_CHECK_MS = 200;
+    /** How long a rejected client may take to read its answer; after that its connection is closed without. */
+    private static final long MAX_LINGER_NS = 500_000_000L;
+    /** Heap that a connection takes besides its buffers: channel, link, parser, entries in lists. */
+    private static final int CONNECTION_OVERHEAD_BYTES = 1024;
+    /** What a connection may hold before joining however full the budget is: enough for a heartbeat. */
+    private static final int UNJOINED_ALLOWANCE_BYTES = 4 * 1024;
+    /** The same for a collector that has joined: its reads at full size and an ordinary report. */
+    private static final int JOINED_ALLOWANCE_BYTES = 32 * 1024;
+
+    private static final byte[] HEARTBEAT_ANSWER = RespWriter.array("hb_ok").array();
     /** There is one collector per zone; further joined connections are left over from earlier ones. */
     private static final int MAX_JOINED = 32;
 
@@ -54,12 +70,19 @@
     private final ArrayDeque<Connection> unjoined = new ArrayDeque<>();
     /** Open connections that have joined, oldest first; guarded by {@link #unjoined}. */
     private final ArrayDeque<Connection> joined = new ArrayDeque<>();
+    /** Rejected connections whose answer is not sent yet, oldest first; guarded by {@link #unjoined}. */
+    private final LinkedHashSet<Connection> closing = new LinkedHashSet<>();
+
+    private final MemoryBudget budget;
 
     /**
      * @param maxUnjoined how many connections may be open without having joined; beyond that, the oldest is rejected
+     * @param budget what all connections together may make the process hold
      */
-    CollectorListener(Net net, PlatformCodec codec, Sink sink, CounterRegistry counters, int maxUnjoined) {
+    CollectorListener(
+            Net net, PlatformCodec codec, Sink sink, CounterRegistry counters, int maxUnjoined, MemoryBudget budget) {
         this.net = net;
+        this.budget = budget;
         this.codec = codec;
         this.sink = sink;
         this.counters = counters;
@@ -69,14 +92,69 @@
     /** Binds the socket; no client is answered until {@link Net.Listener#accept} is called. */
     Net.Listener bind(InetSocketAddress address) throws IOException {
         Net.Listener listener = net.bind(address, MAX_UNSENT_BYTES, channel -> new Connection());
-        net.schedule(JOIN_CHECK_MS, this::rejectOverdue);
+        net.schedule(JOIN_CHECK_MS, this::checkConnections);
         return listener;
     }
 
-    private void rejectOverdue() {
+    /** Rejects what has not joined in time, closes what does not read its answer, and counts the memory held anew. */
+    private void checkConnections() {
         long now = System.nanoTime();
         rejectOldestWhile(connection -> now - connection.openedNs > JOIN_TIMEOUT_NS, "not joined in time");
-        net.schedule(JOIN_CHECK_MS, this::rejectOverdue);
+        closeRejectedWhile(connection -> now - connection.rejectedNs > MAX_LINGER_NS);
+        openConnections().forEach(Connection::countHeldBytes);
+        enforceBudget();
+        net.schedule(JOIN_CHECK_MS, this::checkConnections);
+    }
+
+    private List<Connection> openConnections() {
+        List<Connection> open = new ArrayList<>();
+        synchronized (unjoined) {
+            open.addAll(unjoined);
+            open.addAll(joined);
+            open.addAll(closing);
+        }
+        return open;
+    }
+
+    /** Rejects the clients that hold most until all together hold no more than the budget. */
+    private void enforceBudget() {
+        while (budget.exceeded()) {
+            Connection largest = largestHolder();
+            if (largest == null) {
+                return;
+            }
+            counters.increment("streams.over_budget");
+            largest.reject("too much held for all clients");
+            largest.closeNow();
+        }
+    }
+
+    /**
+     * Returns the client to reject for its memory: the one that holds most over its allowance, or where all are within
+     * it the one that waits longest to join; null if there is none.
+     */
+    private Connection largestHolder() {
+        synchronized (unjoined) {
+            return Stream.concat(unjoined.stream(), joined.stream())
+                    .filter(connection -> connection.bytesOverAllowance() > 0)
+                    .max(Comparator.comparingLong(Connection::bytesOverAllowance))
+                    .orElse(unjoined.peekFirst());
+        }
+    }
+
+    /** Closes the connection that was rejected first for as long as it satisfies the condition. */
+    private void closeRejectedWhile(Predicate<Connection> condition) {
+        while (true) {
+            Connection oldest;
+            synchronized (unjoined) {
+                oldest = closing.stream().findFirst().orElse(null);
+                if (oldest == null || !condition.test(oldest)) {
+                    return;
+                }
+                closing.remove(oldest);
+            }
+            oldest.closeNow();
+        }
     }
 
     /** Rejects the oldest unjoined connection for as long as it satisfies the condition. */
@@ -95,41 +173,59 @@
     }
 
     private final class Connection implements Link.Receiver {
-        private final RespReader reader = new RespReader(MAX_UNJOINED_MESSAGE_BYTES, this::handleMessage);
+        /** Parser of the current message; null once rejected, as no more is read then. */
+        private volatile RespReader reader = new RespReader(MAX_UNJOINED_MESSAGE_BYTES, this::handleMessage);
+
         private final long openedNs = System.nanoTime();
+        private volatile long rejectedNs;
         private volatile Link link;
-        private boolean isJoined;
+        private volatile boolean isJoined;
         /** Whether the sink asked this connection to stop reading. */
         private boolean sinkFull;
 
         private volatile boolean rejected;
+        /** Heartbeats of the current read that are not answered yet; answered together, as most come alone. */
+        private int unansweredHeartbeats;
+        /** What the budget counts for this connection, in bytes; written under this object's lock. */
+        private volatile long heldBytes;
+
+        private boolean ended;
 
         Connection() {
             synchronized (unjoined) {
                 unjoined.addLast(this);
             }
             rejectOldestWhile(connection -> unjoined.size() > maxUnjoined, "too many strangers");
+            closeRejectedWhile(connection -> unjoined.size() + closing.size() > maxUnjoined);
         }
 
         @Override
         public void opened(Link opened) {
+            opened.growReadBuffer(false);
             link = opened;
             if (rejected) {
                 opened.close();
+                return;
             }
+            countHeldBytes();
+            enforceBudget();
         }
 
         @Override
         public void received(Link from, ByteBuffer bytes) {
-            if (rejected) {
+            RespReader current = reader;
+            if (current == null) {
                 return;
             }
             try {
-                reader.feed(bytes);
+                current.feed(bytes);
+                answerHeartbeats();
             } catch (RespException malformed) {
                 counters.incrementAndLog("streams.unreadable", malformed.getMessage());
-                reject(malformed.getMessage());
+                rejectSender(malformed.getMessage());
             }
+            countHeldBytes();
+            enforceBudget();
             if (sinkFull && !rejected) {
                 sinkFull = false;
                 from.pauseReading(true);
@@ -137,6 +233,20 @@
             }
         }
 
+        /** Brings the budget up to date with what this connection makes the process hold. */
+        private synchronized void countHeldBytes() {
+            RespReader current = reader;
+            long held = ended || link == null
+                    ? 0
+                    : CONNECTION_OVERHEAD_BYTES + link.heldBytes() + (current == null ? 0 : current.heldBytes());
+            budget.add(held - heldBytes);
+            heldBytes = held;
+        }
+
+        private long bytesOverAllowance() {
+            return heldBytes - (isJoined ? JOINED_ALLOWANCE_BYTES : UNJOINED_ALLOWANCE_BYTES);
+        }
+
         private void handleMessage(List<String> message) {
             if (rejected) {
                 return;
@@ -144,7 +254,7 @@
             String type = message.isEmpty() ? "" : message.get(0);
             if (type.equals("hb")) {
                 counters.increment("signs_of_life");
-                link.send(RespWriter.array("hb_ok"));
+                unansweredHeartbeats++;
             } else if (isJoined) {
                 try {
                     sinkFull |= !sink.offer(codec.decodeReport(message));
@@ -159,20 +269,33 @@
             } else {
                 counters.incrementAndLog(
                         "streams.rejected", "first message " + PlatformCodec.abbreviate(message.toString()));
-                reject("a stranger may say hb or telemetry");
+                rejectSender("a stranger may say hb or telemetry");
             }
         }
 
+        private void answerHeartbeats() {
+            if (unansweredHeartbeats == 0) {
+                return;
+            }
+            ByteBuffer answers = ByteBuffer.allocate(unansweredHeartbeats * HEARTBEAT_ANSWER.length);
+            while (answers.hasRemaining()) {
+                answers.put(HEARTBEAT_ANSWER);
+            }
+            unansweredHeartbeats = 0;
+            link.send(answers.flip());
+        }
+
         private void join(List<String> message) {
             try {
                 codec.zone(PlatformCodec.fields(message));
             } catch (ProtocolException invalid) {
                 counters.incrementAndLog("streams.rejected", invalid.getMessage());
-                reject(invalid.getMessage());
+                rejectSender(invalid.getMessage());
                 return;
             }
             isJoined = true;
             reader.limit(MAX_COLLECTOR_MESSAGE_BYTES);
+            link.growReadBuffer(true);
             Connection oldest = null;
             synchronized (unjoined) {
                 unjoined.remove(this);
@@ -187,22 +310,56 @@
             }
         }
 
+        /** Rejects the client for the message just read, after the answers to earlier ones. */
+        private void rejectSender(String reason) {
+            answerHeartbeats();
+            reject(reason);
+        }
+
+        /** Answers with the reason and closes once that is sent; what was received is given up. */
         private void reject(String reason) {
-            rejected = true;
+            synchronized (unjoined) {
+                if (rejected) {
+                    return;
+                }
+                rejected = true;
+                rejectedNs = System.nanoTime();
+                unjoined.remove(this);
+                joined.remove(this);
+                if (link != null) {
+                    closing.add(this);
+                }
+            }
             counters.increment("streams.turned_away");
             Link open = link;
             if (open != null) {
+                reader = null;
+                countHeldBytes();
                 open.send(RespWriter.array("reject", "why", reason));
                 open.closeWhenSent();
             }
         }
 
+        /** Closes, whether or not the client has taken all that was sent. */
+        private void closeNow() {
+            Link open = link;
+            if (open != null) {
+                open.close();
+            }
+        }
+
         @Override
         public void ended(Link from, Link.Cause cause, String detail) {
             synchronized (unjoined) {
                 unjoined.remove(this);
                 joined.remove(this);
+                closing.remove(this);
+            }
+            synchronized (this) {
+                ended = true;
+                reader = null;
             }
+            countHeldBytes();
         }
     }
 }
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -14,6 +14,7 @@
 import puffinbarrow.coordinator.FailureWindow;
 import puffinbarrow.coordinator.Inbox;
 import puffinbarrow.coordinator.Prober;
+import puffinbarrow.net.MemoryBudget;
 import puffinbarrow.net.Net;
 
 /**
@@ -69,10 +70,12 @@
 
     /** Reads the configuration from the file and binds the listening socket; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
-        this(file, factory, new CounterRegistry(System.out));
+        this(file, factory, new CounterRegistry(System.out), MemoryBudget.ofHeap());
     }
 
-    Service(Path file, Controller.Factory factory, CounterRegistry counters) throws IOException {
+    /** @param clientMemory what all clients that connect together may make the process hold */
+    Service(Path file, Controller.Factory factory, CounterRegistry counters, MemoryBudget clientMemory)
+            throws IOException {
         this.file = file;
         this.counters = counters;
         PlatformCodec.ClockOffset clock = PlatformCodec.ClockOffset.now();
@@ -90,8 +93,8 @@
         enqueue(new Event.ServerList(
                 Event.ListKind.STALE_COPY, config.known().list().entries()));
         int maxUnjoined = Math.max(MIN_UNJOINED, config.sockets() - RESERVED_DESCRIPTORS);
-        this.listener =
-                new CollectorListener(net, codec, new ReportSink(), counters, maxUnjoined).bind(config.listen());
+        this.listener = new CollectorListener(net, codec, new ReportSink(), counters, maxUnjoined, clientMemory)
+                .bind(config.listen());
         this.config = config;
     }
 
--- a/src/main/java/puffinbarrow/resp/RespReader.java
+++ b/src/main/java/puffinbarrow/resp/RespReader.java
@@ -9,7 +9,8 @@
 
 /**
  * Incremental parser for RESP2 messages that are arrays of bulk strings; each complete message is passed to the
- * consumer. Announced lengths are not trusted: memory grows only with received bytes, up to the limit on a message.
+ * consumer. Announced lengths are not trusted: memory grows only with received bytes, up to the limit on a message. The
+ * parts of an incomplete message are kept as bytes, since a string each would multiply the size of short ones.
  * Any other input throws {@link RespException}, after which the connection is to be closed. Not thread-safe: each
  * connection has its own reader, fed on that connection's network thread.
  */
@@ -25,10 +26,13 @@
     private static final int MAX_LINE_BYTES = 16;
     /** Most parts in a message; the longest that the platform writes has about 20. */
     private static final int MAX_PARTS = 1024;
-    /** Most parts for which room is allocated before they arrive. */
-    private static final int MAX_INITIAL_CAPACITY = 32;
-    /** Size in bytes above which the buffer of a bulk string is not kept for the next one. */
-    private static final int MAX_KEPT_BUFFER_BYTES = 4096;
+    /** Room for an ordinary message, allocated with its first bytes and kept for the next one. */
+    private static final int INITIAL_CONTENT_BYTES = 256;
+
+    private static final int INITIAL_PARTS = 24;
+
+    private static final byte[] NO_BYTES = {};
+    private static final int[] NO_PARTS = {};
 
     private final Consumer<List<String>> consumer;
     /** Limit on the size of a message in bytes. */
@@ -37,18 +41,21 @@
     private State state = State.ARRAY_HEADER;
     private final byte[] line = new byte[MAX_LINE_BYTES];
     private int lineLength;
-    private byte[] bulk = new byte[0];
-    /** Bytes of the current bulk string received so far. */
-    private int bulkReceived;
-    /** Announced length of the current bulk string in bytes. */
-    private int bulkLength;
+    /** The bulk strings of the current message, one after the other. */
+    private byte[] content = NO_BYTES;
+
+    private int contentLength;
+    /** For each complete bulk string of the current message, where it ends in {@link #content}. */
+    private int[] partEnds = NO_PARTS;
+
+    private int partCount;
+    /** Bytes of the current bulk string that are still to come. */
+    private int bulkLeft;
 
     private int partsLeft;
     /** Bytes of the current message received so far. */
     private int messageBytes;
 
-    private List<String> parts = List.of();
-
     /** Creates a reader with a limit on the size of each message in bytes. */
     public RespReader(int limit, Consumer<List<String>> consumer) {
         this.limit = limit;
@@ -75,12 +82,11 @@
                 }
                 case BULK_HEADER -> {
                     if (readLine(in, '$')) {
-                        bulkLength = parseLength();
-                        if (bulkLength > limit - messageBytes) {
+                        bulkLeft = parseLength();
+                        if (bulkLeft > limit - messageBytes) {
                             throw new RespException("a message over " + limit + " bytes");
                         }
-                        bulkReceived = 0;
-                        state = bulkLength == 0 ? State.BULK_END : State.BULK;
+                        state = bulkLeft == 0 ? State.BULK_END : State.BULK;
                     }
                 }
                 case BULK -> readBulk(in);
@@ -94,13 +100,17 @@
         }
     }
 
+    /** Returns the size in bytes of the buffers that are held for the current message. */
+    public int heldBytes() {
+        return content.length + Integer.BYTES * partEnds.length;
+    }
+
     private void beginMessage(int count) {
         if (count > MAX_PARTS) {
             throw new RespException("a message of " + count + " parts");
         }
         partsLeft = count;
         messageBytes = 0;
-        parts = new ArrayList<>(Math.min(count, MAX_INITIAL_CAPACITY));
         state = count == 0 ? State.ARRAY_HEADER : State.BULK_HEADER;
         if (count == 0) {
             consumer.accept(List.of());
@@ -108,17 +118,30 @@
     }
 
     private void finishPart() {
-        parts.add(new String(bulk, 0, bulkLength, StandardCharsets.UTF_8));
-        if (bulk.length > MAX_KEPT_BUFFER_BYTES) {
-            bulk = new byte[0];
+        if (partCount == partEnds.length) {
+            partEnds = Arrays.copyOf(partEnds, Math.max(INITIAL_PARTS, 2 * partCount));
         }
+        partEnds[partCount++] = contentLength;
         state = State.BULK_HEADER;
         if (--partsLeft == 0) {
             state = State.ARRAY_HEADER;
-            List<String> message = parts;
-            parts = List.of();
-            consumer.accept(message);
+            consumer.accept(takeMessage());
+        }
+    }
+
+    /** Returns the parts of the complete message and gives up buffers that are larger than usual. */
+    private List<String> takeMessage() {
+        List<String> parts = new ArrayList<>(partCount);
+        int begin = 0;
+        for (int i = 0; i < partCount; i++) {
+            parts.add(new String(content, begin, partEnds[i] - begin, StandardCharsets.UTF_8));
+            begin = partEnds[i];
         }
+        content = content.length > INITIAL_CONTENT_BYTES ? NO_BYTES : content;
+        partEnds = partEnds.length > INITIAL_PARTS ? NO_PARTS : partEnds;
+        contentLength = 0;
+        partCount = 0;
+        return parts;
     }
 
     /**
@@ -161,13 +184,15 @@
     }
 
     private void readBulk(ByteBuffer in) {
-        int count = Math.min(in.remaining(), bulkLength - bulkReceived);
-        if (bulk.length < bulkReceived + count) {
-            bulk = Arrays.copyOf(bulk, Math.min(bulkLength, Math.max(bulkReceived + count, bulk.length * 2)));
+        int count = Math.min(in.remaining(), bulkLeft);
+        if (content.length < contentLength + count) {
+            int larger = Math.max(INITIAL_CONTENT_BYTES, Math.max(contentLength + count, 2 * content.length));
+            content = Arrays.copyOf(content, larger);
         }
-        in.get(bulk, bulkReceived, count);
-        bulkReceived += count;
+        in.get(content, contentLength, count);
+        contentLength += count;
         messageBytes += count;
-        state = bulkReceived == bulkLength ? State.BULK_END : State.BULK;
+        bulkLeft -= count;
+        state = bulkLeft == 0 ? State.BULK_END : State.BULK;
     }
 }
--- a/src/test/java/puffinbarrow/platform/ProcessTest.java
+++ b/src/test/java/puffinbarrow/platform/ProcessTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.spi.ToolProvider;
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +27,8 @@
     private Process process;
     private BufferedReader output;
     private final List<String> lines = new ArrayList<>();
+    /** Options of the process besides those of all tests. */
+    private String jvmOptions = "";
 
     /** @param shellCommands commands that the shell runs before it executes the coordinator */
     private void launch(String shellCommands) throws IOException {
@@ -37,8 +40,8 @@
         ProcessBuilder builder = new ProcessBuilder(
                 "/bin/sh",
                 "-c",
-                shellCommands + " exec '" + java + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -cp '" + classes
-                        + "' puffinbarrow.cli.Main serve");
+                shellCommands + " exec '" + java + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 " + jvmOptions + " -cp '"
+                        + classes + "' puffinbarrow.cli.Main serve");
         builder.environment().put("RELAY_CONFIG", folder.resolve("config.json").toString());
         process = builder.redirectErrorStream(true).start();
         output = process.inputReader(StandardCharsets.UTF_8);
@@ -134,6 +137,74 @@
         assertTrue(lines.stream().anyMatch(line -> line.startsWith("signals.ignored HUP")), lines.toString());
     }
 
+    /** Launches the process with the heap and the descriptors that it has in production. */
+    private InetSocketAddress launchWithProductionLimits() throws IOException {
+        sockets = 1024;
+        configure(relay);
+        jvmOptions = "-Xms16m -Xmx32m -XX:+ExitOnOutOfMemoryError";
+        launch("ulimit -n 1024;");
+        return awaitReady();
+    }
+
+    /** Sends the bytes on a new connection; the process may close it meanwhile. */
+    private static void sendHalfMessage(InetSocketAddress address, byte[] bytes, List<Socket> open) throws IOException {
+        Socket client = new Socket(address.getAddress(), address.getPort());
+        open.add(client);
+        try {
+            client.getOutputStream().write(bytes);
+        } catch (IOException closed) {
+            // Rejected before all was sent.
+        }
+    }
+
+    private void assertServes(InetSocketAddress address) throws IOException {
+        assertEquals("*1\r\n$5\r\nhb_ok\r\n", readAnswer(connect(address, message("hb"))));
+        assertTrue(process.isAlive());
+    }
+
+    private static String readAnswer(Socket client) throws IOException {
+        try (client) {
+            return new String(client.getInputStream().readNBytes(15), StandardCharsets.US_ASCII);
+        }
+    }
+
+    /**
+     * Guards against running out of heap by hundreds of clients that each send half a message of many short parts, which
+     * took nine times their size.
+     */
+    @Test
+    void survivesHalfMessagesOfHundredsOfClients() throws Exception {
+        InetSocketAddress address = launchWithProductionLimits();
+        byte[] half = ("*1024\r\n" + "$1\r\na\r\n".repeat(580)).getBytes(StandardCharsets.US_ASCII);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 890; i++) {
+            sendHalfMessage(address, half, clients);
+        }
+        assertServes(address);
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
+    /** Guards against running out of heap by the sum of what joined clients may send each within the limit. */
+    @Test
+    void survivesHalfMessagesOfJoinedClients() throws Exception {
+        InetSocketAddress address = launchWithProductionLimits();
+        String large = "x".repeat(1_000_000);
+        byte[] half = ("*2\r\n$14\r\nupstream_stats\r\n$1000001\r\n" + large).getBytes(StandardCharsets.US_ASCII);
+        List<Socket> clients = new ArrayList<>();
+        for (int i = 0; i < 32; i++) {
+            byte[] join = message("telemetry", "site", "a");
+            byte[] bytes = Arrays.copyOf(join, join.length + half.length);
+            System.arraycopy(half, 0, bytes, join.length, half.length);
+            sendHalfMessage(address, bytes, clients);
+            assertServes(address);
+        }
+        for (Socket client : clients) {
+            client.close();
+        }
+    }
+
     @Test
     void acceptsCollectorAfterRunningOutOfDescriptors() throws Exception {
         configure(relay);
--- a/src/test/java/puffinbarrow/platform/ServiceFixture.java
+++ b/src/test/java/puffinbarrow/platform/ServiceFixture.java
@@ -31,6 +31,7 @@
 import puffinbarrow.control.Order;
 import puffinbarrow.net.HttpParser;
 import puffinbarrow.net.Link;
+import puffinbarrow.net.MemoryBudget;
 import puffinbarrow.net.Net;
 import puffinbarrow.resp.RespWriter;
 
@@ -167,6 +168,8 @@
     final ConcurrentLinkedQueue<List<Order>> queuedOrders = new ConcurrentLinkedQueue<>();
 
     Service service;
+    /** What the service's clients together may make it hold. */
+    MemoryBudget clientMemory = MemoryBudget.ofHeap();
     /** Whether the controller throws an exception for each batch. */
     volatile boolean controllerFails;
 
@@ -191,6 +194,9 @@
     /** Domain settings besides those of all tests, as the end of a JSON object. */
     String domainSettings = "";
 
+    /** Limit on the service's sockets. */
+    int sockets = 256;
+
     /** Writes the configuration file, with the given relay. */
     void configure(StubServer relayServer) throws IOException {
         Files.writeString(folder.resolve("config.json"), configuration(relayServer.listener.address()));
@@ -200,7 +206,7 @@
     String configuration(InetSocketAddress relayServer) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\""
                 + Net.formatAddress(discovery.listener.address())
-                + "\",\"seed\":\"ff\",\"limits\":{\"sockets\":256},\"registry\":{\"address\":\""
+                + "\",\"seed\":\"ff\",\"limits\":{\"sockets\":" + sockets + "},\"registry\":{\"address\":\""
                 + Net.formatAddress(relayServer) + "\"},\"known\":{\"generation\":5,\"reset\":true,\"instances\":["
                 + ENTRY
                 + "]},\"settings\":{\"Zones\":[\"a\",\"b\"],\"Models\":[\"m\"],\"Discovery\":\"ask\",\"RequestClasses\":[{\"Name\":\"x\","
@@ -223,7 +229,8 @@
                     controllerEvents.addAll(events);
                     return next == null ? List.of() : next;
                 },
-                counters);
+                counters,
+                clientMemory);
         Thread thread = new Thread(service::run);
         thread.setDaemon(true);
         thread.start();
--- a/src/test/java/puffinbarrow/resp/RespTest.java
+++ b/src/test/java/puffinbarrow/resp/RespTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -61,4 +62,16 @@
         reader.feed(RespWriter.array("y".repeat(9000)));
         assertEquals(51, read.size());
     }
+
+    /** Guards against a heap that incomplete messages of many short parts fill with several times their size. */
+    @Test
+    void holdsAnIncompleteMessageInAboutItsSize() {
+        String half = "*1024\r\n" + "$1\r\na\r\n".repeat(580);
+        RespReader reader = new RespReader(4096, message -> {});
+        reader.feed(bytes(half));
+        assertTrue(reader.heldBytes() <= 2 * half.length(), "held: " + reader.heldBytes());
+        RespReader idle = new RespReader(100_000, message -> {});
+        idle.feed(RespWriter.array("y".repeat(50_000)));
+        assertTrue(idle.heldBytes() <= 1024, "held after a complete message: " + idle.heldBytes());
+    }
 }
