A proxy that may have returned unnoticed gets masks and levels again

Record: restore taken at 20.711 s, streams broken at 20.718 s, news again at 21.146 s, mark 10 asked for again and acknowledged at 21.219 s, no restore after that.

Change: the event ProxyUncertain, reported for each known proxy that a new stream of news finds attached. Messages that wait for it go on counting; masks without its acknowledgement, and levels, are ordered again.

RelaySnapshotTest held that such a proxy is not reported at all. That was the fault; the test now holds exactly what is reported, and still that no ProxyLeft comes.

--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -380,13 +380,11 @@
             applyStoredLine(e);
         } else if (event instanceof Event.ProxyJoined e) {
             joinedProxies.add(e.proxy());
-            levelsDue = decisionDue = true;
-            maskTracker.ordered().forEach(id -> servers.get(id).maskRequiredSinceNs = nowNs);
-            if (!e.fresh() && rounds < START_ROUNDS) {
-                // So soon after a start all is restated, also to a proxy that has joined this run before.
-                maskTracker.restateAll(servers.keySet());
+            restateTo(e.proxy(), e.fresh());
+        } else if (event instanceof Event.ProxyUncertain e) {
+            if (joinedProxies.contains(e.proxy())) {
+                restateTo(e.proxy(), false);
             }
-            maskTracker.proxyJoined(e.proxy(), e.fresh(), servers.keySet());
         } else if (event instanceof Event.ProxyLeft e) {
             joinedProxies.remove(e.proxy());
             acknowledge(e.proxy(), -1);
@@ -401,6 +399,17 @@
         }
     }
 
+    /** Has levels and masks ordered again that a proxy may lack, or hold though they are not wanted any more. */
+    private void restateTo(int proxy, boolean fresh) {
+        levelsDue = decisionDue = true;
+        maskTracker.ordered().forEach(id -> servers.get(id).maskRequiredSinceNs = nowNs);
+        if (!fresh && rounds < START_ROUNDS) {
+            // So soon after a start all is restated, also to a proxy that has joined this run before.
+            maskTracker.restateAll(servers.keySet());
+        }
+        maskTracker.proxyConnected(proxy, fresh, servers.keySet());
+    }
+
     /**
      * Restores what an earlier run of this coordinator learned, for the first rounds after a restart when no sums have
      * arrived: a server that flapped is suspect until its sums are good, holds go on doubling, and a fleet that was
--- a/src/main/java/puffinbarrow/MaskTracker.java
+++ b/src/main/java/puffinbarrow/MaskTracker.java
@@ -68,13 +68,14 @@
     }
 
     /**
-     * Records that a proxy connected. One that returns for the first time in this run may hold a mask of any server;
-     * later only those whose state was ordered after its latest acknowledgement are uncertain.
+     * Records that a proxy connected, or may have connected again unnoticed. One that returns for the first time in this
+     * run may hold a mask of any server; later only those whose state was ordered after its latest acknowledgement are
+     * uncertain.
      *
      * @param fresh whether it holds nothing from an earlier connection
      * @param servers all servers known so far
      */
-    void proxyJoined(int proxy, boolean fresh, Collection<String> servers) {
+    void proxyConnected(int proxy, boolean fresh, Collection<String> servers) {
         if (fresh) {
             proxies.put(proxy, new ProxyMasks(false, pushCount));
             restateOrdered();
--- a/src/main/java/puffinbarrow/control/Event.java
+++ b/src/main/java/puffinbarrow/control/Event.java
@@ -68,6 +68,12 @@
      */
     record ProxyJoined(int proxy, boolean fresh, double flowsPerS, int zone) implements Event {}
 
+    /**
+     * A proxy that has joined may have disconnected and connected again unnoticed. Messages sent to it before may be
+     * lost or may still wait in the channel.
+     */
+    record ProxyUncertain(int proxy) implements Event {}
+
     /** A proxy disconnected. */
     record ProxyLeft(int proxy) implements Event {}
 
--- a/src/main/java/puffinbarrow/platform/RelaySnapshot.java
+++ b/src/main/java/puffinbarrow/platform/RelaySnapshot.java
@@ -167,23 +167,20 @@
         }
 
         /**
-         * Replaces the snapshot by this state and reports the differences; the stream has settled.
+         * Replaces the snapshot by this state and reports the differences; the stream has settled. A proxy that was
+         * attached before and is now may have detached and attached again meanwhile, which the state does not tell.
          *
          * @param inFlight orders that were in flight when the stream was requested, or were added since
-         * @param rejoinProxies whether proxies may have detached and attached again unnoticed, so that all are reported
-         *     as having left and joined. This must not be done for a proxy that stayed attached: the controller would
-         *     count the messages queued for it as lost
+         * @param rejoinProxies whether all such proxies are reported as having left and joined; otherwise as uncertain.
+         *     This must not be done while messages for one that stayed attached may wait in the channel: the controller
+         *     would count them as lost
          * @return the slices reported: new ones, and those whose lines differ from the snapshot
          */
         Set<Integer> commit(List<Order> inFlight, boolean rejoinProxies, List<Event> out) {
             List.copyOf(attachedProxies).stream()
                     .filter(id -> rejoinProxies || !proxies.containsKey(id))
                     .forEach(id -> removeProxy(id, out));
-            proxies.forEach((id, proxy) -> {
-                if (attachedProxies.add(id)) {
-                    out.add(proxy);
-                }
-            });
+            proxies.forEach((id, proxy) -> out.add(attachedProxies.add(id) ? proxy : new Event.ProxyUncertain(id)));
             List.copyOf(slices.keySet()).stream()
                     .filter(slice -> !tables.containsKey(slice))
                     .forEach(slice -> removeSlice(slice, out));
--- a/src/test/java/puffinbarrow/MaskTrackerTest.java
+++ b/src/test/java/puffinbarrow/MaskTrackerTest.java
@@ -20,32 +20,32 @@
 
     @Test
     void returningProxyMakesTheStateOfAllServersUncertain() {
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         assertEquals(Set.copyOf(SERVERS), tracker.toRestate());
     }
 
     @Test
     void acknowledgedStateIsNotOrderedAgain() {
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         tracker.acknowledged(0, push());
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         assertEquals(Set.of(), tracker.toRestate());
     }
 
     @Test
     void acknowledgementOfAPushThatLeftSomethingOutConfirmsNothing() {
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         tracker.state("a", false);
         tracker.acknowledged(0, tracker.pushed(server -> false));
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         assertEquals(Set.copyOf(SERVERS), tracker.toRestate());
     }
 
     @Test
     void eachProxyIsConfirmedOnItsOwn() {
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         tracker.acknowledged(0, push());
-        tracker.proxyJoined(1, false, SERVERS);
+        tracker.proxyConnected(1, false, SERVERS);
         assertEquals(Set.copyOf(SERVERS), tracker.toRestate());
     }
 
@@ -53,39 +53,39 @@
     void freshProxyGetsTheOrderedMasksOnly() {
         tracker.state("b", true);
         tracker.pushed(server -> false);
-        tracker.proxyJoined(0, true, SERVERS);
+        tracker.proxyConnected(0, true, SERVERS);
         assertEquals(Set.of("b"), tracker.toRestate());
     }
 
     @Test
     void ofAProxyThatWasFreshInThisRunOnlyStatedServersAreUncertain() {
-        tracker.proxyJoined(0, true, SERVERS);
+        tracker.proxyConnected(0, true, SERVERS);
         tracker.state("b", false);
         tracker.pushed(server -> false);
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         assertEquals(Set.of("b"), tracker.toRestate());
     }
 
     @Test
     void serverThatAppearsIsUncertainOnceAProxyHasReturned() {
-        tracker.proxyJoined(0, true, SERVERS);
+        tracker.proxyConnected(0, true, SERVERS);
         tracker.serverAppeared("d");
         assertEquals(Set.of(), tracker.toRestate());
-        tracker.proxyJoined(1, false, List.of());
+        tracker.proxyConnected(1, false, List.of());
         tracker.serverAppeared("e");
         assertEquals(Set.of("e"), tracker.toRestate());
     }
 
     @Test
     void serverThatNeedsNoOrderYetDoesNotKeepAPushFromConfirming() {
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         tracker.state("a", false);
         tracker.state("b", false);
         tracker.acknowledged(0, tracker.pushed("c"::equals));
         assertEquals(Set.of("c"), tracker.toRestate());
         tracker.state("c", false);
         tracker.pushed(server -> false);
-        tracker.proxyJoined(0, false, SERVERS);
+        tracker.proxyConnected(0, false, SERVERS);
         assertEquals(Set.of("c"), tracker.toRestate(), "ordered since the proxy's last acknowledgement");
     }
 }
--- a/src/test/java/puffinbarrow/StaleMaskTest.java
+++ b/src/test/java/puffinbarrow/StaleMaskTest.java
@@ -127,6 +127,29 @@
         assertEquals(before + 1, masksOrdered(), "of the other servers the proxy has acknowledged the state");
     }
 
+    /**
+     * Guards against servers that stay masked at a proxy which returned unnoticed, while news of it could not be had: the
+     * orders that lifted the masks were lost, and the mark that is asked for again is acknowledged all the same.
+     */
+    @Test
+    void proxyThatMayHaveReturnedUnnoticedIsToldAgain() {
+        startWithProxies(true);
+        host.list("s2", Listed.READY, host.nowNs);
+        host.run(0.25);
+        assertTrue(host.masks.contains("s2"), "a restarted server is masked until it is emptied");
+        host.stopAcknowledging();
+        host.run(3);
+        assertEquals(Set.of(), host.masks);
+        int lastMark =
+                host.ordersOf(Order.Mark.class).get(host.pushes.size() - 1).number();
+        host.masks.add("s2");
+        long before = masksOrdered();
+        host.queue(new Event.ProxyUncertain(1), new Event.InForce(1, lastMark, SECOND / 5));
+        host.run(1);
+        assertEquals(Set.of(), host.masks, "the orders that were lost are not repeated");
+        assertEquals(before + 1, masksOrdered(), "of the other servers the proxy has acknowledged the state");
+    }
+
     /** Where all proxies are fresh, no proxy holds an old mask, and a new server costs no order. */
     @Test
     void newServerCostsNoMaskOrderWhileAllProxiesAreFresh() {
--- a/src/test/java/puffinbarrow/platform/RelaySnapshotTest.java
+++ b/src/test/java/puffinbarrow/platform/RelaySnapshotTest.java
@@ -101,9 +101,9 @@
         };
         replaceStream(List.of(), false, state);
         assertEquals(
-                List.of(new Event.SliceCharge(1, false)),
+                List.of(new Event.ProxyUncertain(7), new Event.SliceCharge(1, false)),
                 takeReported(),
-                "a proxy that stayed attached is not reported again");
+                "a proxy that may have stayed attached is not reported as having left");
         replaceStream(List.of(), true, state);
         assertEquals(List.of(new Event.ProxyLeft(7), JOINED), takeReported());
         replaceStream(
