Clients of the daemon share a memory budget; frames are buffered as they come

Cause: FrameReader allocated a frame's announced length with its header, so 12 bytes took 1 MB; a client that had not said hello might send the longest frame; each connection began with 20 kB of buffers and tables; no bound held for all clients together.

ClientMemory takes the place of MemoryBudget and does the choosing for serve and the daemon alike.

--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -26,6 +26,7 @@
 import puffinbarrow.control.Controller;
 import puffinbarrow.control.Event;
 import puffinbarrow.memory.FactWriter;
+import puffinbarrow.net.ClientMemory;
 import puffinbarrow.net.Link;
 import puffinbarrow.net.Net;
 import puffinbarrow.proto.Frame;
@@ -62,6 +63,12 @@
     private static final long CLAIMED_NUMBER_ANSWER_NS = 1_000_000_000L;
     /** Proxy numbers are below this. */
     private static final int MAX_PROXIES = 65_536;
+    /** The longest frame of a client that has not identified itself; a hello is short. */
+    private static final int MAX_HELLO_BYTES = 1024;
+    /** What a client that has not identified itself may hold however little memory is left. */
+    private static final int UNIDENTIFIED_ALLOWANCE_BYTES = 4 * 1024;
+    /** The same for proxies and peers: ordinary frames and texts, and some orders that are not sent yet. */
+    private static final int IDENTIFIED_ALLOWANCE_BYTES = 256 * 1024;
     /** The longest request to the admin listener, in characters. */
     private static final int MAX_ADMIN_REQUEST = 1024;
     /** Send queue of an admin connection: far above the longest status answer. */
@@ -89,6 +96,8 @@
     private final Map<Integer, ClientConnection> proxies = new ConcurrentHashMap<>();
     /** Accepted connections, whether welcomed or not. */
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
+    /** Bounds what proxies, peers and whoever else connects together make the process hold. */
+    private final ClientMemory clientMemory = ClientMemory.ofHeap();
 
     private final List<Dialer> dialers = new ArrayList<>();
     private final TreeMap<Integer, Dialer> peerDialers = new TreeMap<>();
@@ -331,6 +340,7 @@
         for (ClientConnection connection : connections) {
             connection.checkIdle(now);
         }
+        clientMemory.updateAll();
         if (running) {
             net.schedule(
                     Math.max(MIN_IDLE_CHECK_MS, Math.min(MAX_IDLE_CHECK_MS, config.idleTimeoutNs / 4_000_000)),
@@ -339,8 +349,8 @@
     }
 
     /** A connection from a proxy or a peer: handshake, dispatch of frames, and backpressure while the inbox is full. */
-    private final class ClientConnection implements Link.Receiver, FrameSink {
-        private final FrameReader reader = new FrameReader(config.maxFrameBytes, this::onFrame);
+    private final class ClientConnection implements Link.Receiver, FrameSink, ClientMemory.Client {
+        private final FrameReader reader = new FrameReader(MAX_HELLO_BYTES, this::onFrame);
         private final long openedAtNs = System.nanoTime();
         private volatile Link link;
         /** The peer's hello, once it was accepted. */
@@ -366,7 +376,30 @@
 
         @Override
         public void opened(Link fresh) {
+            fresh.growReadBuffer(false);
             link = fresh;
+            clientMemory.update(this);
+        }
+
+        @Override
+        public long heldBytes() {
+            return link.ended() ? 0 : ClientMemory.CONNECTION_OVERHEAD_BYTES + link.heldBytes() + reader.heldBytes();
+        }
+
+        @Override
+        public long allowanceBytes() {
+            return hello == null ? UNIDENTIFIED_ALLOWANCE_BYTES : IDENTIFIED_ALLOWANCE_BYTES;
+        }
+
+        @Override
+        public boolean expendable() {
+            return hello == null;
+        }
+
+        @Override
+        public void evict() {
+            meters.count("streams.over_budget");
+            close("too much held for all clients");
         }
 
         @Override
@@ -386,6 +419,7 @@
                                 : Frame.RefusalReason.MALFORMED,
                         invalid.getMessage());
             }
+            clientMemory.update(this);
             if (inboxFull) {
                 inboxFull = false;
                 from.pauseReading(true);
@@ -440,7 +474,7 @@
                     refuse(Frame.RefusalReason.UNKNOWN_PEER, "no peer " + first.number());
                     return;
                 }
-                hello = first;
+                accept(first);
                 welcome();
             } else if (first.role() == Frame.Role.PROXY && first.number() >= 0 && first.number() < MAX_PROXIES) {
                 ClientConnection existing = proxies.get(first.number());
@@ -450,7 +484,7 @@
                     refuse(Frame.RefusalReason.NUMBER_TAKEN, "proxy " + first.number() + " is joined already");
                     return;
                 }
-                hello = first;
+                accept(first);
                 proxies.put(first.number(), this);
                 inboxFull |= !core.offer(
                         new Input.Joined(first, this, new Frame.Welcome(Frame.MINOR, config.number, incarnation)));
@@ -459,6 +493,13 @@
             }
         }
 
+        /** Allows the frames of a client that has identified itself. */
+        private void accept(Frame.Hello accepted) {
+            hello = accepted;
+            reader.limit(config.maxFrameBytes);
+            link.growReadBuffer(true);
+        }
+
         private void welcome() {
             send(FrameWriter.encode(new Frame.Welcome(Frame.MINOR, config.number, incarnation)));
         }
@@ -498,6 +539,7 @@
         @Override
         public void ended(Link from, Link.Cause cause, String detail) {
             connections.remove(this);
+            clientMemory.remove(this);
             if (cause == Link.Cause.SLOW_READER || cause == Link.Cause.BAD_INPUT) {
                 meters.countCause("streams.cut", cause);
                 LOG.atWarn()
--- a/src/main/java/puffinbarrow/platform/CollectorListener.java
+++ b/src/main/java/puffinbarrow/platform/CollectorListener.java
@@ -4,15 +4,12 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.function.Predicate;
-import java.util.stream.Stream;
 import puffinbarrow.control.Event;
+import puffinbarrow.net.ClientMemory;
 import puffinbarrow.net.Link;
-import puffinbarrow.net.MemoryBudget;
 import puffinbarrow.net.Net;
 import puffinbarrow.resp.RespException;
 import puffinbarrow.resp.RespReader;
@@ -50,8 +47,6 @@
     private static final long JOIN_CHECK_MS = 200;
     /** How long a rejected client may take to read its answer; after that its connection is closed without. */
     private static final long MAX_LINGER_NS = 500_000_000L;
-    /** Heap that a connection takes besides its buffers: channel, link, parser, entries in lists. */
-    private static final int CONNECTION_OVERHEAD_BYTES = 1024;
     /** What a connection may hold before joining however full the budget is: enough for a heartbeat. */
     private static final int UNJOINED_ALLOWANCE_BYTES = 4 * 1024;
     /** The same for a collector that has joined: its reads at full size and an ordinary report. */
@@ -73,16 +68,16 @@
     /** Rejected connections whose answer is not sent yet, oldest first; guarded by {@link #unjoined}. */
     private final LinkedHashSet<Connection> closing = new LinkedHashSet<>();
 
-    private final MemoryBudget budget;
+    private final ClientMemory memory;
 
     /**
      * @param maxUnjoined how many connections may be open without having joined; beyond that, the oldest is rejected
-     * @param budget what all connections together may make the process hold
+     * @param memory bounds what all connections together make the process hold
      */
     CollectorListener(
-            Net net, PlatformCodec codec, Sink sink, CounterRegistry counters, int maxUnjoined, MemoryBudget budget) {
+            Net net, PlatformCodec codec, Sink sink, CounterRegistry counters, int maxUnjoined, ClientMemory memory) {
         this.net = net;
-        this.budget = budget;
+        this.memory = memory;
         this.codec = codec;
         this.sink = sink;
         this.counters = counters;
@@ -101,47 +96,10 @@
         long now = System.nanoTime();
         rejectOldestWhile(connection -> now - connection.openedNs > JOIN_TIMEOUT_NS, "not joined in time");
         closeRejectedWhile(connection -> now - connection.rejectedNs > MAX_LINGER_NS);
-        openConnections().forEach(Connection::countHeldBytes);
-        enforceBudget();
+        memory.updateAll();
         net.schedule(JOIN_CHECK_MS, this::checkConnections);
     }
 
-    private List<Connection> openConnections() {
-        List<Connection> open = new ArrayList<>();
-        synchronized (unjoined) {
-            open.addAll(unjoined);
-            open.addAll(joined);
-            open.addAll(closing);
-        }
-        return open;
-    }
-
-    /** Rejects the clients that hold most until all together hold no more than the budget. */
-    private void enforceBudget() {
-        while (budget.exceeded()) {
-            Connection largest = largestHolder();
-            if (largest == null) {
-                return;
-            }
-            counters.increment("streams.over_budget");
-            largest.reject("too much held for all clients");
-            largest.closeNow();
-        }
-    }
-
-    /**
-     * Returns the client to reject for its memory: the one that holds most over its allowance, or where all are within
-     * it the one that waits longest to join; null if there is none.
-     */
-    private Connection largestHolder() {
-        synchronized (unjoined) {
-            return Stream.concat(unjoined.stream(), joined.stream())
-                    .filter(connection -> connection.bytesOverAllowance() > 0)
-                    .max(Comparator.comparingLong(Connection::bytesOverAllowance))
-                    .orElse(unjoined.peekFirst());
-        }
-    }
-
     /** Closes the connection that was rejected first for as long as it satisfies the condition. */
     private void closeRejectedWhile(Predicate<Connection> condition) {
         while (true) {
@@ -172,7 +130,7 @@
         }
     }
 
-    private final class Connection implements Link.Receiver {
+    private final class Connection implements Link.Receiver, ClientMemory.Client {
         /** Parser of the current message; null once rejected, as no more is read then. */
         private volatile RespReader reader = new RespReader(MAX_UNJOINED_MESSAGE_BYTES, this::handleMessage);
 
@@ -186,10 +144,6 @@
         private volatile boolean rejected;
         /** Heartbeats of the current read that are not answered yet; answered together, as most come alone. */
         private int unansweredHeartbeats;
-        /** What the budget counts for this connection, in bytes; written under this object's lock. */
-        private volatile long heldBytes;
-
-        private boolean ended;
 
         Connection() {
             synchronized (unjoined) {
@@ -207,8 +161,7 @@
                 opened.close();
                 return;
             }
-            countHeldBytes();
-            enforceBudget();
+            memory.update(this);
         }
 
         @Override
@@ -224,8 +177,9 @@
                 counters.incrementAndLog("streams.unreadable", malformed.getMessage());
                 rejectSender(malformed.getMessage());
             }
-            countHeldBytes();
-            enforceBudget();
+            if (!rejected) {
+                memory.update(this);
+            }
             if (sinkFull && !rejected) {
                 sinkFull = false;
                 from.pauseReading(true);
@@ -233,18 +187,32 @@
             }
         }
 
-        /** Brings the budget up to date with what this connection makes the process hold. */
-        private synchronized void countHeldBytes() {
+        @Override
+        public long heldBytes() {
+            if (link.ended()) {
+                return 0;
+            }
             RespReader current = reader;
-            long held = ended || link == null
-                    ? 0
-                    : CONNECTION_OVERHEAD_BYTES + link.heldBytes() + (current == null ? 0 : current.heldBytes());
-            budget.add(held - heldBytes);
-            heldBytes = held;
+            return ClientMemory.CONNECTION_OVERHEAD_BYTES
+                    + link.heldBytes()
+                    + (current == null ? 0 : current.heldBytes());
+        }
+
+        @Override
+        public long allowanceBytes() {
+            return isJoined ? JOINED_ALLOWANCE_BYTES : UNJOINED_ALLOWANCE_BYTES;
         }
 
-        private long bytesOverAllowance() {
-            return heldBytes - (isJoined ? JOINED_ALLOWANCE_BYTES : UNJOINED_ALLOWANCE_BYTES);
+        @Override
+        public boolean expendable() {
+            return !isJoined;
+        }
+
+        @Override
+        public void evict() {
+            counters.increment("streams.over_budget");
+            reject("too much held for all clients");
+            closeNow();
         }
 
         private void handleMessage(List<String> message) {
@@ -334,7 +302,6 @@
             Link open = link;
             if (open != null) {
                 reader = null;
-                countHeldBytes();
                 open.send(RespWriter.array("reject", "why", reason));
                 open.closeWhenSent();
             }
@@ -355,11 +322,7 @@
                 joined.remove(this);
                 closing.remove(this);
             }
-            synchronized (this) {
-                ended = true;
-                reader = null;
-            }
-            countHeldBytes();
+            memory.remove(this);
         }
     }
 }
--- a/src/main/java/puffinbarrow/platform/Service.java
+++ b/src/main/java/puffinbarrow/platform/Service.java
@@ -14,7 +14,7 @@
 import puffinbarrow.coordinator.FailureWindow;
 import puffinbarrow.coordinator.Inbox;
 import puffinbarrow.coordinator.Prober;
-import puffinbarrow.net.MemoryBudget;
+import puffinbarrow.net.ClientMemory;
 import puffinbarrow.net.Net;
 
 /**
@@ -70,11 +70,11 @@
 
     /** Reads the configuration from the file and binds the listening socket; {@link #run} serves. */
     public Service(Path file, Controller.Factory factory) throws IOException {
-        this(file, factory, new CounterRegistry(System.out), MemoryBudget.ofHeap());
+        this(file, factory, new CounterRegistry(System.out), ClientMemory.ofHeap());
     }
 
     /** @param clientMemory what all clients that connect together may make the process hold */
-    Service(Path file, Controller.Factory factory, CounterRegistry counters, MemoryBudget clientMemory)
+    Service(Path file, Controller.Factory factory, CounterRegistry counters, ClientMemory clientMemory)
             throws IOException {
         this.file = file;
         this.counters = counters;
--- a/src/main/java/puffinbarrow/proto/FrameReader.java
+++ b/src/main/java/puffinbarrow/proto/FrameReader.java
@@ -16,7 +16,7 @@
 
 /**
  * Decodes frames from bytes that arrive in pieces of any size. Lengths are never trusted: a frame over the limit is
- * refused before any of it is buffered, and counts within a frame are checked against the bytes present. A frame that
+ * refused before any of it is buffered, the buffer grows with the bytes received, and counts within a frame are checked against the bytes present. A frame that
  * cannot be decoded throws {@link FrameException}; after that the reader must not be fed again. Server ids are
  * cached, so that decoding a line allocates only its record. Not thread-safe: each link has its own.
  */
@@ -24,7 +24,9 @@
     /** Default limit for a frame's body in bytes: a complete list of 10,000 servers fits. */
     public static final int DEFAULT_LIMIT_BYTES = 1 << 20;
 
-    private static final int INITIAL_BUFFER_BYTES = 4096;
+    private static final int INITIAL_BUFFER_BYTES = 256;
+    /** Buffer that is kept for the next frame; larger ones are given up with the frame that needed them. */
+    private static final int MAX_KEPT_BUFFER_BYTES = 16 * 1024;
 
     // Lower bounds of the bytes that parts of frames take, to refuse impossible counts before anything is allocated.
     private static final int MIN_ORDER_BYTES = 2;
@@ -49,7 +51,7 @@
     }
 
     /** The longest body in bytes. */
-    private final int limit;
+    private int limit;
 
     private final Consumer<Frame> out;
     private final CRC32C crc = new CRC32C();
@@ -68,6 +70,16 @@
         this.out = out;
     }
 
+    /** Changes the limit on a frame's body; may be called while a frame is passed on. */
+    public void limit(int bytes) {
+        limit = bytes;
+    }
+
+    /** Returns the size in bytes of the buffers that the reader holds. */
+    public int heldBytes() {
+        return partial.capacity() + texts.heldBytes();
+    }
+
     /** Returns whether the bytes fed so far end within a frame. */
     public boolean midFrame() {
         return midFrame;
@@ -86,8 +98,8 @@
             int need = partial.position() < FrameWriter.HEADER_BYTES
                     ? FrameWriter.HEADER_BYTES
                     : FrameWriter.HEADER_BYTES + checked(partial.getInt(0));
-            ensureCapacity(need);
             int count = Math.min(in.remaining(), need - partial.position());
+            ensureCapacity(partial.position() + count);
             int limitBefore = in.limit();
             in.limit(in.position() + count);
             partial.put(in);
@@ -96,7 +108,9 @@
                     && partial.position() == FrameWriter.HEADER_BYTES + checked(partial.getInt(0))) {
                 partial.flip();
                 decode(partial);
-                partial.clear();
+                partial = partial.capacity() > MAX_KEPT_BUFFER_BYTES
+                        ? ByteBuffer.allocate(INITIAL_BUFFER_BYTES)
+                        : partial.clear();
             }
         }
         midFrame = partial.position() > 0;
@@ -119,7 +133,7 @@
     private void ensureCapacity(int bytes) {
         if (partial.capacity() < bytes) {
             ByteBuffer larger = ByteBuffer.allocate(
-                    Math.min(FrameWriter.HEADER_BYTES + limit, Math.max(bytes, partial.capacity() * 2)));
+                    Math.max(bytes, Math.min(FrameWriter.HEADER_BYTES + limit, partial.capacity() * 2)));
             partial.flip();
             larger.put(partial);
             partial = larger;
--- a/src/main/java/puffinbarrow/proto/TextCache.java
+++ b/src/main/java/puffinbarrow/proto/TextCache.java
@@ -15,7 +15,18 @@
     /** Longer texts, in bytes, are messages rather than server ids, and are not cached. */
     private static final int MAX_CACHED_BYTES = 64;
 
-    private final String[] cached = new String[SLOTS];
+    /** Heap of a cached text at most: the string, its array with header, its slot. */
+    private static final int MAX_ENTRY_BYTES = 128;
+
+    /** Allocated with the first text, as many connections never name a server. */
+    private String[] cached;
+
+    private int entries;
+
+    /** Returns the most that the cache holds, in bytes. */
+    int heldBytes() {
+        return cached == null ? 0 : SLOTS * Integer.BYTES + entries * MAX_ENTRY_BYTES;
+    }
 
     /** Reads a UTF-8 text of that many bytes and moves the buffer's position behind it. */
     String read(ByteBuffer in, int length) throws CharacterCodingException {
@@ -26,6 +37,7 @@
                 hash = hash * 31 + in.get(start + i);
             }
             hash ^= hash >>> 15;
+            cached = cached == null ? new String[SLOTS] : cached;
             String known = cached[hash & SLOTS - 1];
             if (known != null && same(known, in, start, length)) {
                 in.position(start + length);
@@ -33,6 +45,7 @@
             }
             String read = decode(in, start, length);
             cached[hash & SLOTS - 1] = read;
+            entries += known == null ? 1 : 0;
             return read;
         }
         return decode(in, start, length);
--- a/src/test/java/puffinbarrow/platform/ClientMemoryTest.java
+++ b/src/test/java/puffinbarrow/platform/ClientMemoryTest.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import puffinbarrow.net.MemoryBudget;
+import puffinbarrow.net.ClientMemory;
 
 /** What all clients together may make the service hold, and who is rejected beyond it. */
 @Timeout(60)
@@ -18,7 +18,7 @@
     private static final int BUDGET_BYTES = 64 * 1024;
 
     private void startWithSmallBudget() throws IOException {
-        clientMemory = new MemoryBudget(BUDGET_BYTES);
+        clientMemory = new ClientMemory(BUDGET_BYTES);
         start(List.of());
     }
 
@@ -54,6 +54,6 @@
         for (Socket client : clients) {
             client.close();
         }
-        await(() -> clientMemory.heldBytes() == 0);
+        await(() -> clientMemory.totalBytes() == 0);
     }
 }
--- a/src/test/java/puffinbarrow/platform/ServiceFixture.java
+++ b/src/test/java/puffinbarrow/platform/ServiceFixture.java
@@ -29,9 +29,9 @@
 import org.junit.jupiter.api.io.TempDir;
 import puffinbarrow.control.Event;
 import puffinbarrow.control.Order;
+import puffinbarrow.net.ClientMemory;
 import puffinbarrow.net.HttpParser;
 import puffinbarrow.net.Link;
-import puffinbarrow.net.MemoryBudget;
 import puffinbarrow.net.Net;
 import puffinbarrow.resp.RespWriter;
 
@@ -169,7 +169,7 @@
 
     Service service;
     /** What the service's clients together may make it hold. */
-    MemoryBudget clientMemory = MemoryBudget.ofHeap();
+    ClientMemory clientMemory = ClientMemory.ofHeap();
     /** Whether the controller throws an exception for each batch. */
     volatile boolean controllerFails;
 
