The daemon refuses reports about servers that nobody has named, beyond a hundred

Cause: ReportAggregator keeps a line for each server, zone, slice and group that a report names, whoever made it up. Besides, the inbox counts frames, however long; and each connection that ended stayed for five seconds in its hello timer, with its buffers.

Change: ReportSubjects accepts what the list and stored lines know and a hundred servers besides, and only zones, slices and groups that can exist (intake.lines.refused). A report of more than 1,000 lines is followed by no read until it is taken. One periodic check looks after hellos, and a connection gives up its buffers when it ends.

--- a/src/main/java/puffinbarrow/coordinator/Coordinator.java
+++ b/src/main/java/puffinbarrow/coordinator/Coordinator.java
@@ -63,12 +63,14 @@
     private static final long CLAIMED_NUMBER_ANSWER_NS = 1_000_000_000L;
     /** Proxy numbers are below this. */
     private static final int MAX_PROXIES = 65_536;
+    /** Lines of a report above which its sender is read on only once the decision thread has taken it. */
+    private static final int MAX_ORDINARY_REPORT_LINES = 1000;
     /** The longest frame of a client that has not identified itself; a hello is short. */
     private static final int MAX_HELLO_BYTES = 1024;
     /** What a client that has not identified itself may hold however little memory is left. */
     private static final int UNIDENTIFIED_ALLOWANCE_BYTES = 4 * 1024;
     /** The same for proxies and peers: ordinary frames and texts, and some orders that are not sent yet. */
-    private static final int IDENTIFIED_ALLOWANCE_BYTES = 256 * 1024;
+    private static final int IDENTIFIED_ALLOWANCE_BYTES = 64 * 1024;
     /** The longest request to the admin listener, in characters. */
     private static final int MAX_ADMIN_REQUEST = 1024;
     /** Send queue of an admin connection: far above the longest status answer. */
@@ -342,15 +344,18 @@
         }
         clientMemory.updateAll();
         if (running) {
+            long shortestTimeoutNs = Math.min(config.idleTimeoutNs, config.helloTimeoutNs);
             net.schedule(
-                    Math.max(MIN_IDLE_CHECK_MS, Math.min(MAX_IDLE_CHECK_MS, config.idleTimeoutNs / 4_000_000)),
+                    Math.max(MIN_IDLE_CHECK_MS, Math.min(MAX_IDLE_CHECK_MS, shortestTimeoutNs / 4_000_000)),
                     this::checkConnections);
         }
     }
 
     /** A connection from a proxy or a peer: handshake, dispatch of frames, and backpressure while the inbox is full. */
     private final class ClientConnection implements Link.Receiver, FrameSink, ClientMemory.Client {
-        private final FrameReader reader = new FrameReader(MAX_HELLO_BYTES, this::onFrame);
+        /** Null once the connection has ended, which the decision thread may hear of later. */
+        private volatile FrameReader reader = new FrameReader(MAX_HELLO_BYTES, this::onFrame);
+
         private final long openedAtNs = System.nanoTime();
         private volatile Link link;
         /** The peer's hello, once it was accepted. */
@@ -363,15 +368,10 @@
         private volatile boolean inboxFull;
 
         /** Whether a refusal was sent; all further frames are ignored. */
-        private boolean refused;
+        private volatile boolean refused;
 
         ClientConnection() {
             connections.add(this);
-            net.schedule(config.helloTimeoutNs / 1_000_000 + 1, () -> {
-                if (hello == null && link != null) {
-                    refuse(Frame.RefusalReason.EXPECTED_HELLO, "no hello within " + config.helloTimeoutNs / 1e9 + " s");
-                }
-            });
         }
 
         @Override
@@ -383,7 +383,10 @@
 
         @Override
         public long heldBytes() {
-            return link.ended() ? 0 : ClientMemory.CONNECTION_OVERHEAD_BYTES + link.heldBytes() + reader.heldBytes();
+            FrameReader current = reader;
+            return current == null
+                    ? 0
+                    : ClientMemory.CONNECTION_OVERHEAD_BYTES + link.heldBytes() + current.heldBytes();
         }
 
         @Override
@@ -406,11 +409,12 @@
         public void received(Link from, ByteBuffer bytes) {
             lastReceivedNs = System.nanoTime();
             answerDeadlineNs = Long.MAX_VALUE;
-            if (refused) {
+            FrameReader current = reader;
+            if (refused || current == null) {
                 return;
             }
             try {
-                reader.feed(bytes);
+                current.feed(bytes);
             } catch (FrameException invalid) {
                 meters.countCause("frames.refused", invalid.why());
                 refuse(
@@ -448,6 +452,9 @@
                             || frame instanceof Frame.Demand
                             || frame instanceof Frame.Applied)) {
                 inboxFull |= !core.offer(new Input.FromProxy(hello.number(), this, frame));
+                // Long reports wait one at a time, as the inbox counts frames.
+                inboxFull |= frame instanceof Frame.Sums sums && sums.met().size() > MAX_ORDINARY_REPORT_LINES
+                        || frame instanceof Frame.Demand demand && demand.came().size() > MAX_ORDINARY_REPORT_LINES;
             } else if (hello.role() == Frame.Role.PROXY && frame instanceof Frame.Stale stale && leaseHolder != null) {
                 leaseHolder.stale(stale.slice(), stale.term());
             } else if (hello.role() == Frame.Role.PEER
@@ -496,7 +503,10 @@
         /** Allows the frames of a client that has identified itself. */
         private void accept(Frame.Hello accepted) {
             hello = accepted;
-            reader.limit(config.maxFrameBytes);
+            FrameReader current = reader;
+            if (current != null) {
+                current.limit(config.maxFrameBytes);
+            }
             link.growReadBuffer(true);
         }
 
@@ -522,10 +532,20 @@
             net.schedule(ns / 1_000_000 + 10, () -> checkIdle(System.nanoTime()));
         }
 
+        private void checkHello(long now) {
+            if (!refused && now - openedAtNs > config.helloTimeoutNs) {
+                refuse(Frame.RefusalReason.EXPECTED_HELLO, "no hello within " + config.helloTimeoutNs / 1e9 + " s");
+            }
+        }
+
         /** Pings a peer that has been silent for a third of the idle limit, and closes it after the full limit. */
         void checkIdle(long now) {
             Link open = link;
-            if (open == null || hello == null) {
+            if (open == null) {
+                return;
+            }
+            if (hello == null) {
+                checkHello(now);
                 return;
             }
             if (now - lastReceivedNs > config.idleTimeoutNs || now > answerDeadlineNs) {
@@ -539,6 +559,7 @@
         @Override
         public void ended(Link from, Link.Cause cause, String detail) {
             connections.remove(this);
+            reader = null;
             clientMemory.remove(this);
             if (cause == Link.Cause.SLOW_READER || cause == Link.Cause.BAD_INPUT) {
                 meters.countCause("streams.cut", cause);
--- a/src/main/java/puffinbarrow/coordinator/CoordinatorCore.java
+++ b/src/main/java/puffinbarrow/coordinator/CoordinatorCore.java
@@ -134,6 +134,7 @@
     private final Inbox<Input> inbox;
     private final PacedChannel channel;
     private final ReportAggregator aggregator;
+    private final ReportSubjects reportSubjects;
     private final FrameWriter writer = new FrameWriter();
     /** Joined proxies by number. */
     private final TreeMap<Integer, Proxy> proxies = new TreeMap<>();
@@ -189,6 +190,7 @@
         this.channel =
                 new PacedChannel(config.queueLines, rateLimits.linesPerS(), config.maxMessages, config.messagesSpanNs);
         this.aggregator = new ReportAggregator(rateLimits.intakePerS(), rateLimits.reportIntervalNs());
+        this.reportSubjects = new ReportSubjects(config.slices);
         this.controller = factory.start(config.settings(), config.seed);
         meters.gauge("streams.joined", this, c -> c.proxies.size());
         meters.gauge("inbox.waiting", inbox, Inbox::size);
@@ -349,6 +351,7 @@
             }
         } else if (input instanceof Input.FromRegistry in) {
             events.add(new Event.ServerList(in.list().kind(), in.list().entries()));
+            in.list().entries().forEach(entry -> reportSubjects.addKnownServer(entry.server()));
             if (!recalled && in.list().kind() != Event.ListKind.BROKEN) {
                 recalled = true;
                 events.addAll(memory.recall(in.list().entries()));
@@ -415,9 +418,9 @@
 
     private void onProxyFrame(long now, int number, Proxy proxy, Frame frame, List<Event> events) {
         if (frame instanceof Frame.Sums f) {
-            aggregator.addSums(now, number, f);
+            aggregator.addSums(now, number, acceptedPart(f));
         } else if (frame instanceof Frame.Demand f) {
-            aggregator.addDemand(now, number, sliced, f);
+            aggregator.addDemand(now, number, sliced, acceptedPart(f));
         } else if (frame instanceof Frame.Applied f) {
             if (f.mark() < 0 && ownerPause != null) {
                 ownerPause.markConfirmed(now, number, f.mark());
@@ -434,6 +437,28 @@
         }
     }
 
+    private Frame.Sums acceptedPart(Frame.Sums sums) {
+        List<Frame.Met> accepted = sums.met().stream()
+                .filter(met -> reportSubjects.acceptsSums(sums.zone(), met.server()))
+                .toList();
+        countRefused(sums.met().size() - accepted.size());
+        return new Frame.Sums(sums.zone(), sums.round(), sums.spanNs(), accepted);
+    }
+
+    private Frame.Demand acceptedPart(Frame.Demand demand) {
+        List<Frame.Came> accepted = demand.came().stream()
+                .filter(came -> reportSubjects.acceptsDemand(came.slice(), came.group()))
+                .toList();
+        countRefused(demand.came().size() - accepted.size());
+        return new Frame.Demand(demand.round(), demand.spanNs(), accepted);
+    }
+
+    private void countRefused(int lines) {
+        if (lines > 0) {
+            meters.add("intake.lines.refused", lines);
+        }
+    }
+
     private void onRegistryConnection(FrameSink sink, List<Event> events) {
         boolean lost = registry != null && sink == null;
         registry = sink;
@@ -470,6 +495,7 @@
             }
             for (Frame.Line line : f.lines()) {
                 events.add(new Event.StoredLine(f.slice(), line.server(), line.weight()));
+                reportSubjects.addKnownServer(line.server());
             }
         } else {
             meters.count("store.odd");
--- a/src/main/java/puffinbarrow/coordinator/ReportAggregator.java
+++ b/src/main/java/puffinbarrow/coordinator/ReportAggregator.java
@@ -13,7 +13,7 @@
  * Aggregates the reports of all joined proxies: one line for each round, zone and server, and one for each round, slice
  * (or proxy) and traffic group. Lines are released at no more than the intake rate, oldest first. When more than {@link
  * #MAX_WAITING_ROUNDS} seconds' worth of lines wait, new reports are added to a line of the same kind for any round, so
- * that memory is bounded by servers and slices whatever the delay. Used by {@link CoordinatorCore} on the decision
+ * that memory is bounded by servers and slices, which {@link ReportSubjects} bounds, whatever the delay. Used by {@link CoordinatorCore} on the decision
  * thread; the time is passed in.
  */
 final class ReportAggregator {
--- a/src/test/java/puffinbarrow/coordinator/CoordinatorTest.java
+++ b/src/test/java/puffinbarrow/coordinator/CoordinatorTest.java
@@ -241,6 +241,26 @@
         assertTrue(!valid.ended);
     }
 
+    /** Guards against a heap filled by reports about ever new servers, and by long frames before any hello. */
+    @Test
+    void inventedServersAndLongFirstFramesAreRefused() throws IOException {
+        ScriptedController controller = new ScriptedController();
+        Coordinator coordinator = start(config(0, ""), controller);
+        RawClient stranger = new RawClient(coordinator)
+                .read()
+                .bytes(ByteBuffer.allocate(12).putInt(0, 100_000).array());
+        until("the refusal of a long first frame", () -> stranger.refused(Frame.RefusalReason.MALFORMED));
+        RawClient proxy = new RawClient(coordinator).hello(1, 10);
+        List<Frame.Met> invented = new ArrayList<>();
+        for (int i = 0; i < 5000; i++) {
+            invented.add(new Frame.Met("invented-" + i, 3, 0, 9, Map.of()));
+        }
+        proxy.send(new Frame.Sums(0, 1, 1, invented));
+        until("the refusal of invented servers", () -> value(coordinator, "intake.lines.refused") == 4900);
+        assertTrue(value(coordinator, "intake.lines.waiting") <= 100);
+        assertTrue(!proxy.ended, "its connection goes on, as other reports may be valid");
+    }
+
     @Test
     void twoHundredProxiesJoinAtOnceAndEachReceivesOrders() throws IOException {
         ScriptedController controller = new ScriptedController();
--- a/src/test/java/puffinbarrow/proto/FrameTest.java
+++ b/src/test/java/puffinbarrow/proto/FrameTest.java
@@ -203,4 +203,14 @@
                 ((Frame.Stored) read.get(0)).lines().get(0).server(),
                 ((Frame.Stored) read.get(1)).lines().get(0).server());
     }
+
+    /** Guards against a heap filled by headers that announce long frames of which nothing follows. */
+    @Test
+    void memoryGrowsWithTheBytesReceivedAndNotWithTheLengthAnnounced() {
+        FrameReader reader = new FrameReader(1 << 20, frame -> {});
+        reader.feed(ByteBuffer.allocate(FrameWriter.HEADER_BYTES).putInt(0, 1_000_000));
+        assertTrue(reader.heldBytes() <= 1024, "held after the header: " + reader.heldBytes());
+        reader.feed(ByteBuffer.allocate(100_000));
+        assertTrue(reader.heldBytes() <= 300_000, "held after 100 kB: " + reader.heldBytes());
+    }
 }
