Less load on warm servers in place of cold ones; burst room is computed only for these

The bound up to which a warm server takes a slice in place of a cold one without room for a burst is 0.4 times the burst's share of what the cold one bears, not 0.5; 0.8 at most as before, which is what servers of the first seconds meet. Candidates are measured only where one of them lacks room. A collector that is rejected while it joins no longer meets an absent parser.

--- a/src/main/java/puffinbarrow/ColdServerLimits.java
+++ b/src/main/java/puffinbarrow/ColdServerLimits.java
@@ -16,7 +16,7 @@
     /** Up to here a warm server answers in time. */
     private static final double MAX_UTILIZATION = 0.8;
     /** Up to here a warm server is preferred to a cold one that has only just no room for a burst. */
-    private static final double EASY_UTILIZATION = 0.5;
+    private static final double EASY_UTILIZATION = 0.4;
     /** Utilization at the highest calm load where reports do not tell it: some room is left in calm times. */
     private static final double ASSUMED_CALM_UTILIZATION = 0.7;
     /** Fall multiple from which a cold server may be given as much as the mean: known demand uses up 0.4 of it. */
--- a/src/main/java/puffinbarrow/Logic.java
+++ b/src/main/java/puffinbarrow/Logic.java
@@ -1001,7 +1001,7 @@
                     slice.number,
                     warmth(server),
                     relativeLoad(server, server.demand),
-                    relativeLoad(server, server.demand + demandPerPrimary(slice)),
+                    relativeLoadWith(slice, server),
                     coldLimits.loadLimit(),
                     burstShare(server, slice)));
         }
@@ -1048,10 +1048,14 @@
         return warmth(server) >= 1 ? 0 : coldLimits.burstShare(relativeLoadWith(slice, server), capacity(server));
     }
 
+    private boolean lacksBurstRoom(Server server, Slice slice) {
+        return burstShare(server, slice) > 1;
+    }
+
     /** Returns the least load with the slice of a server that has room for a burst; infinite if there is none. */
     private double leastLoadWithBurstRoom(List<Server> candidates, Slice slice) {
         return candidates.stream()
-                .filter(server -> burstShare(server, slice) <= 1)
+                .filter(server -> !lacksBurstRoom(server, slice))
                 .mapToDouble(server -> Math.max(relativeLoadWith(slice, server), relativeReport(server)))
                 .min()
                 .orElse(Double.POSITIVE_INFINITY);
@@ -1107,8 +1111,10 @@
         if (candidates.isEmpty()) {
             return null;
         }
-        double standInLoad = leastLoadWithBurstRoom(candidates, slice);
-        candidates.removeIf(server -> prefersLoaded(server, slice, standInLoad));
+        if (candidates.stream().anyMatch(server -> lacksBurstRoom(server, slice))) {
+            double standInLoad = leastLoadWithBurstRoom(candidates, slice);
+            candidates.removeIf(server -> prefersLoaded(server, slice, standInLoad));
+        }
         // For a standby line, a third of the server's standby demand counts as load, so that these lines spread.
         ToDoubleFunction<Server> rank =
                 server -> server.score + (standby ? 0.3 * relativeLoad(server, server.standbyDemand) : 0);
@@ -1278,7 +1284,8 @@
     private void fill(Server target, Server source, List<Slice> movable, List<Server> usable) {
         movable.stream()
                 .filter(slice -> fits(target, slice) && improvesBalance(slice, source, target))
-                .filter(slice -> !prefersLoaded(target, slice, leastLoadWithBurstRoom(usable, slice)))
+                .filter(slice -> !lacksBurstRoom(target, slice)
+                        || !prefersLoaded(target, slice, leastLoadWithBurstRoom(usable, slice)))
                 .max(Comparator.comparingDouble(slice -> slice.demand))
                 .ifPresent(slice -> move(slice, source, target));
     }
--- a/src/main/java/puffinbarrow/platform/CollectorListener.java
+++ b/src/main/java/puffinbarrow/platform/CollectorListener.java
@@ -261,8 +261,12 @@
                 rejectSender(invalid.getMessage());
                 return;
             }
+            RespReader current = reader;
+            if (current == null) {
+                return;
+            }
             isJoined = true;
-            reader.limit(MAX_COLLECTOR_MESSAGE_BYTES);
+            current.limit(MAX_COLLECTOR_MESSAGE_BYTES);
             link.growReadBuffer(true);
             Connection oldest = null;
             synchronized (unjoined) {
