--- a/src/test/java/puffinbarrow/ColdServerTest.java
+++ b/src/test/java/puffinbarrow/ColdServerTest.java
@@ -27,12 +27,6 @@
         }
     }
 
-    private static long primariesOn(FakeHost host, String server) {
-        return host.tables.values().stream()
-                .filter(table -> table.getOrDefault(server, 0.0) > 0.5)
-                .count();
-    }
-
     /**
      * Guards against a collapse of a server that has just started: a key with 12% of all traffic, two servers' worth,
      * becomes hot in a slice that was just put there, and no sums show it in time.
@@ -48,12 +42,12 @@
         for (int round = 0; round < 15; round++) {
             double warmth = 0.2 + 0.8 * (host.nowNs - startedNs) / (16.0 * SECOND);
             rounds(host, UTILIZATION, 1);
-            long primaries = primariesOn(host, "f0");
+            long primaries = host.primariesOn("f0");
             assertTrue(
                     primaries == 0 || hotKeyLoad + primaries * UTILIZATION / 4 <= 3 * warmth,
                     primaries + " slices at warmth " + warmth);
         }
-        assertTrue(primariesOn(host, "f0") >= 1, "it gets slices once it has room: " + host.tables);
+        assertTrue(host.primariesOn("f0") >= 1, "it gets slices once it has room: " + host.tables);
     }
 
     /** Guards against cold servers that stand idle although the warm ones that are left can't do all the work. */
@@ -67,7 +61,7 @@
         }
         host.run(2);
         long used = IntStream.range(0, 10)
-                .filter(i -> primariesOn(host, "f" + i) > 0)
+                .filter(i -> host.primariesOn("f" + i) > 0)
                 .count();
         assertTrue(used >= 5, host.tables.toString());
     }
@@ -89,7 +83,7 @@
         host.run(1);
         double warmth = 0.2 + 0.8 * 11 / 16;
         double part = (SLICES + 16.0) / SERVERS * warmth;
-        long primaries = primariesOn(host, "f0");
+        long primaries = host.primariesOn("f0");
         assertTrue(primaries <= part, primaries + " of 20 orphaned slices, its part is " + part);
     }
 }
--- a/src/test/java/puffinbarrow/FakeHost.java
+++ b/src/test/java/puffinbarrow/FakeHost.java
@@ -205,6 +205,13 @@
                 .toList();
     }
 
+    /** Returns the number of slices with a primary line to the server. */
+    long primariesOn(String server) {
+        return tables.values().stream()
+                .filter(table -> table.getOrDefault(server, 0.0) > 0.5)
+                .count();
+    }
+
     /** Returns all orders of one kind so far. */
     <T extends Order> List<T> ordersOf(Class<T> kind) {
         return orders.stream().filter(kind::isInstance).map(kind::cast).toList();
--- a/src/test/java/puffinbarrow/LogicTest.java
+++ b/src/test/java/puffinbarrow/LogicTest.java
@@ -678,13 +678,6 @@
         }
     }
 
-    /** Returns the number of slices with a primary line to the server. */
-    private static long primariesOn(FakeHost host, String server) {
-        return host.tables.values().stream()
-                .filter(table -> table.getOrDefault(server, 0.0) > 0.5)
-                .count();
-    }
-
     @Test
     void freshServerWithoutFlowsGetsOrphanedSlicesBeforeALoadedOne() {
         FakeHost host = FakeHost.of(4, 16);
@@ -694,18 +687,18 @@
         host.list("s0", Listed.GONE, 0);
         host.run(0.5);
         // The other two orphaned slices stay with their standby servers, which are loaded less than the mean.
-        assertTrue(primariesOn(host, "f0") >= 2, host.tables.toString());
+        assertTrue(host.primariesOn("f0") >= 2, host.tables.toString());
     }
 
     @Test
     void serverThatCarriesSlicesIsNotIdleThoughItsSumsAreLost() {
         FakeHost host = FakeHost.of(4, 16);
         rounds(host, 4, 0, List.of("s0", "s2", "s3"), List.of(0.6, 0.3, 0.6));
-        long before = primariesOn(host, "s1");
+        long before = host.primariesOn("s1");
         host.list("s0", Listed.GONE, 0);
         host.run(0.5);
         // Two by its standby lines. If taken for idle, it would be chosen for all the other orphaned slices too.
-        assertTrue(primariesOn(host, "s1") - before <= 2, host.tables.toString());
+        assertTrue(host.primariesOn("s1") - before <= 2, host.tables.toString());
     }
 
     @Test
@@ -715,11 +708,11 @@
         host.list("s0", Listed.DRAINING, 0);
         host.list("s1", Listed.DRAINING, 0);
         host.run(1);
-        assertEquals(8, primariesOn(host, "s2"), "all slices are on the only server left");
+        assertEquals(8, host.primariesOn("s2"), "all slices are on the only server left");
         List.of("f0", "f1", "f2").forEach(fresh -> host.list(fresh, Listed.READY, 0));
         host.tookNs = SECOND / 2;
         rounds(host, 12, 6, List.of("s2"), List.of(0.9));
-        long gained = primariesOn(host, "f0") + primariesOn(host, "f1") + primariesOn(host, "f2");
+        long gained = host.primariesOn("f0") + host.primariesOn("f1") + host.primariesOn("f2");
         assertTrue(gained >= 2, host.tables.toString());
     }
 }
