Reread: the limit on groups has one place, a ring without spare buckets, a reflowed comment

ReportSubjects repeated the limit on traffic groups that CoordinatorConfig checks; it is CoordinatorConfig.MAX_GROUPS now. SliceFlows had two buckets more than its window reads, with a comment that said one; they are out.

--- a/src/main/java/puffinbarrow/SliceFlows.java
+++ b/src/main/java/puffinbarrow/SliceFlows.java
@@ -15,8 +15,7 @@
     /** @param windowSeconds window over which {@link #recent} sums */
     SliceFlows(int windowSeconds) {
         this.windowSeconds = windowSeconds;
-        // One bucket more than the window, of which the current one is still filling.
-        this.flows = new SlidingSum(windowSeconds + 2, SECOND);
+        this.flows = new SlidingSum(windowSeconds, SECOND);
     }
 
     /** Records that the slice was given to this coordinator. */
--- a/src/main/java/puffinbarrow/config/CoordinatorConfig.java
+++ b/src/main/java/puffinbarrow/config/CoordinatorConfig.java
@@ -46,6 +46,9 @@
             String dedupScope,
             long dedupWindowNs) {}
 
+    /** The most traffic groups: their numbers are bits of an order. */
+    public static final int MAX_GROUPS = 30;
+
     /** Number of this coordinator, from 0 to {@link #coordinatorCount} - 1. */
     public int number;
     /** Number of coordinators. */
@@ -391,8 +394,8 @@
                         name, 0, "no line '" + needed + "', expected: " + needed + " " + KEYWORDS.get(needed)));
             }
         }
-        if (groups.size() > 30) {
-            addProblem(problems, "group", "found " + groups.size() + " groups, expected 30 at most");
+        if (groups.size() > MAX_GROUPS) {
+            addProblem(problems, "group", "found " + groups.size() + " groups, expected " + MAX_GROUPS + " at most");
         }
         if (number >= coordinatorCount) {
             addProblem(
--- a/src/main/java/puffinbarrow/coordinator/ReportSubjects.java
+++ b/src/main/java/puffinbarrow/coordinator/ReportSubjects.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import puffinbarrow.config.CoordinatorConfig;
 
 /**
  * Decides which servers, zones, slices and traffic groups reports may be about, so that a proxy that makes up new ones
@@ -14,7 +15,6 @@
     private static final int MAX_UNKNOWN_SERVERS = 100;
 
     private static final int MAX_ZONES = 64;
-    private static final int MAX_GROUPS = 30;
 
     private final int slices;
     private final Set<String> knownServers = new HashSet<>();
@@ -42,6 +42,6 @@
 
     /** Returns whether demand for this slice and traffic group is accepted; without slices, the slice is not read. */
     boolean acceptsDemand(int slice, int group) {
-        return group >= 0 && group < MAX_GROUPS && (slices == 0 || slice >= 0 && slice < slices);
+        return group >= 0 && group < CoordinatorConfig.MAX_GROUPS && (slices == 0 || slice >= 0 && slice < slices);
     }
 }
--- a/src/main/java/puffinbarrow/proto/FrameReader.java
+++ b/src/main/java/puffinbarrow/proto/FrameReader.java
@@ -16,9 +16,10 @@
 
 /**
  * Decodes frames from bytes that arrive in pieces of any size. Lengths are never trusted: a frame over the limit is
- * refused before any of it is buffered, the buffer grows with the bytes received, and counts within a frame are checked against the bytes present. A frame that
- * cannot be decoded throws {@link FrameException}; after that the reader must not be fed again. Server ids are
- * cached, so that decoding a line allocates only its record. Not thread-safe: each link has its own.
+ * refused before any of it is buffered, the buffer grows with the bytes received, and counts within a frame are checked
+ * against the bytes present. A frame that cannot be decoded throws {@link FrameException}; after that the reader must
+ * not be fed again. Server ids are cached, so that decoding a line allocates only its record. Not thread-safe: each
+ * link has its own.
  */
 public final class FrameReader {
     /** Default limit for a frame's body in bytes: a complete list of 10,000 servers fits. */
